--- /dev/null
+++ b/standins/src/main/java/org/catkinproxy/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package org.catkinproxy.standin;
