--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/error/ErrorCode.java
@@ -0,0 +1,64 @@
+package org.catkinproxy.error;
+
+import java.util.Locale;
+
+/** The stable codes of all errors, with the HTTP status that callers see. Immutable. */
+public enum ErrorCode {
+    INVALID_SETTINGS(500, "the settings file does not hold what is wanted"),
+    MISSING_KEY(401, "no bearer key was given"),
+    UNKNOWN_KEY(401, "the bearer key is not known"),
+    FORBIDDEN(403, "the key does not allow this"),
+    NOT_FOUND(404, "there is nothing of this name"),
+    UNKNOWN_MODEL(404, "no model of this name is assigned to the workspace"),
+    UNKNOWN_SERVICE(404, "no service of this name is assigned to the workspace"),
+    MALFORMED_BODY(400, "the body can not be read as what it should be"),
+    WRONG_CONTENT_TYPE(415, "the content type is not accepted here"),
+    BODY_TOO_LARGE(413, "the body is over the limit"),
+    SLOW_SENDER(408, "the body did not arrive in time"),
+    MISSING_IDEMPOTENCY_KEY(400, "a call that may run once needs an idempotency key"),
+    IDEMPOTENCY_KEY_REUSED(422, "the idempotency key was used with another body"),
+    CALL_IN_PROGRESS(409, "another attempt at this call is open"),
+    CALL_OUTCOME_UNKNOWN(502, "it is not known whether the call ran"),
+    DEADLINE_UNREACHABLE(503, "the deadline can not be met"),
+    QUEUE_FULL(503, "too many requests are waiting"),
+    RATE_LIMITED(429, "the workspace is over its rate"),
+    NO_ENGINE(503, "no engine serves these weights now"),
+    ENGINE_UNREACHABLE(502, "the engine could not be reached"),
+    STREAM_BROKEN(502, "the stream could not be continued"),
+    STREAM_MISMATCH(502, "the engine sent an event that does not belong to the stream"),
+    WRONG_WEIGHTS(502, "the engine answered from other weights"),
+    INVALID_RESUME_TOKEN(400, "the resume token is not valid"),
+    SERVICE_UNREACHABLE(502, "the service could not be reached"),
+    STORE_UNAVAILABLE(503, "the store did not answer"),
+    STORE_CONFLICT(409, "the row was changed by another writer"),
+    REVISION_CONFLICT(409, "another revision was accepted first"),
+    INVALID_SHEET(422, "the sheet has errors"),
+    NOT_CONFIGURED(503, "no configuration has been received yet"),
+    STOPPING(503, "the instance is stopping"),
+    PEER_UNREACHABLE(502, "the peer instance could not be reached"),
+    STALE_ORDER(409, "the order carries an old fencing number"),
+    INTERNAL(500, "the daemon failed");
+
+    private final int mHttpStatus;
+    private final String mMeaning;
+
+    ErrorCode(int httpStatus, String meaning) {
+        mHttpStatus = httpStatus;
+        mMeaning = meaning;
+    }
+
+    /** Returns the HTTP status that goes with the code. */
+    public int httpStatus() {
+        return mHttpStatus;
+    }
+
+    /** Returns one sentence on what the code means. */
+    public String meaning() {
+        return mMeaning;
+    }
+
+    /** Returns the spelling used in error bodies and logs. */
+    public String wire() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/error/Outcome.java
@@ -0,0 +1,22 @@
+package org.catkinproxy.error;
+
+/** What is known of whether the work behind a failed request was done. Immutable. */
+public enum Outcome {
+    /** No byte of the request reached, or can still reach, an upstream. */
+    NOT_RUN("not_run"),
+    /** The work may or may not have been done. */
+    UNKNOWN("unknown"),
+    /** The work was done, in whole or in part. */
+    RAN("ran");
+
+    private final String mWire;
+
+    Outcome(String wire) {
+        mWire = wire;
+    }
+
+    /** Returns the spelling used in error bodies. */
+    public String wire() {
+        return mWire;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
@@ -0,0 +1,53 @@
+package org.catkinproxy.observe;
+
+import org.apache.logging.log4j.Level;
+
+/**
+ * Every event that the daemon logs, with its number, level and template.
+ *
+ * <p>Numbers are never used again for another event. docs/EVENTS.md is the catalogue for people on
+ * call. Immutable.
+ */
+public enum LogEvent {
+    // 100: process
+    DAEMON_STARTED(101, Level.INFO, "instance {} serves callers on {}"),
+    DAEMON_STOPPED(102, Level.INFO, "instance {} stopped"),
+    TASK_FAILED(103, Level.ERROR, "task {} failed on a message: {}"),
+    // 200: callers and streams
+    REQUEST_REFUSED(201, Level.INFO, "request {} refused: {}"),
+    STREAM_CONTINUED(202, Level.WARN, "request {} continues after token {} on engine {}: {}"),
+    STREAM_BROKEN(203, Level.ERROR, "request {} could not be continued after token {}: {}"),
+    // 300: calls that may not be repeated
+    // 400: configuration
+    // 500: peers and membership
+    // 600: orders and leases
+    // 700: platform
+    STORE_FAILED(701, Level.WARN, "store did not answer {}: {}"),
+// 800: operators
+;
+
+    private final int mNumber;
+    private final Level mLevel;
+    private final String mTemplate;
+
+    LogEvent(int number, Level level, String template) {
+        mNumber = number;
+        mLevel = level;
+        mTemplate = template;
+    }
+
+    /** Returns the event's number. */
+    public int number() {
+        return mNumber;
+    }
+
+    /** Returns the level at which it is logged. */
+    public Level level() {
+        return mLevel;
+    }
+
+    /** Returns the message with {@code {}} in place of each argument. */
+    public String template() {
+        return mTemplate;
+    }
+}
