Add the platform's HTTP adapters and the bounded HTTP listener

Cause: Jooby's Netty server has no limit on slow senders or connections, writes large bodies to disk, and reads its keys once. Weighed: Undertow behind Jooby (its options are private there too), a hand-written server on Netty. Chosen: Jooby's routing with an own Server that builds the channel pipeline.

--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/http/BoundedNettyServer.java
@@ -0,0 +1,152 @@
+package org.catkinproxy.http;
+
+import io.jooby.Jooby;
+import io.jooby.Server;
+import io.jooby.ServerOptions;
+import io.jooby.internal.netty.NettyHandler;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
+import io.netty.handler.codec.http.multipart.DefaultHttpDataFactory;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.handler.ssl.SslContext;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Jooby's Netty server with limits that Jooby's own does not offer.
+ *
+ * <p>Adds a limit on connections, a time limit on arriving requests, and TLS whose keys are asked
+ * for at each connection, so that they can change without a restart. Bodies stay in memory, since
+ * instances have no disks. Started and stopped by one thread.
+ */
+final class BoundedNettyServer extends Server.Base {
+    private static final int MAX_INITIAL_LINE_BYTES = 8_192;
+    private static final int CHUNK_BYTES = 65_536;
+    private static final int BACKLOG = 1_024;
+    private static final int STOP_SECONDS = 2;
+
+    private final HttpLimits mLimits;
+    private final Optional<Supplier<SslContext>> mTls;
+    private final EventLoopGroup mAcceptors;
+    private final EventLoopGroup mLoops;
+    private final ExecutorService mWorkers;
+    private ServerOptions mOptions;
+    private Jooby mApplication;
+    private Channel mListener;
+
+    BoundedNettyServer(
+            ServerOptions options, HttpLimits limits, Optional<Supplier<SslContext>> tls) {
+        mOptions = options;
+        mLimits = limits;
+        mTls = tls;
+        mAcceptors = new NioEventLoopGroup(1, new DefaultThreadFactory("http-accept", true));
+        mLoops =
+                new NioEventLoopGroup(
+                        options.getIoThreads(), new DefaultThreadFactory("http-io", true));
+        mWorkers =
+                Executors.newFixedThreadPool(
+                        options.getWorkerThreads(), new DefaultThreadFactory("http-work", true));
+    }
+
+    /** Returns the port that was bound. */
+    int port() {
+        return ((InetSocketAddress) mListener.localAddress()).getPort();
+    }
+
+    @Override
+    public Server setOptions(ServerOptions options) {
+        mOptions = options;
+        return this;
+    }
+
+    @Override
+    public ServerOptions getOptions() {
+        return mOptions;
+    }
+
+    @Override
+    public String getName() {
+        return "netty";
+    }
+
+    @Override
+    public Server start(Jooby application) {
+        mApplication = application;
+        fireStart(List.of(application), mWorkers);
+        mListener =
+                new ServerBootstrap()
+                        .group(mAcceptors, mLoops)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(new Pipeline())
+                        .bind(mOptions.getHost(), mOptions.getPort())
+                        .syncUninterruptibly()
+                        .channel();
+        fireReady(List.of(application));
+        return this;
+    }
+
+    @Override
+    public Server stop() {
+        fireStop(List.of(mApplication));
+        if (mListener != null) {
+            mListener.close().syncUninterruptibly();
+        }
+        mAcceptors.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS);
+        mLoops.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS);
+        mWorkers.shutdown();
+        return this;
+    }
+
+    /** Sets up each accepted connection. */
+    private final class Pipeline extends ChannelInitializer<SocketChannel> {
+        private final ConnectionLimitHandler mConnections =
+                new ConnectionLimitHandler(mLimits.maxConnections());
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline().addLast("connections", mConnections);
+            mTls.ifPresent(
+                    tls ->
+                            channel.pipeline()
+                                    .addLast("ssl", tls.get().newHandler(channel.alloc())));
+            channel.pipeline()
+                    .addLast("flush", new FlushConsolidationHandler())
+                    .addLast(
+                            "codec",
+                            new HttpServerCodec(
+                                    MAX_INITIAL_LINE_BYTES, mLimits.maxHeaderBytes(), CHUNK_BYTES))
+                    .addLast("timeout", new RequestTimeoutHandler(mLimits.requestTimeoutMillis()))
+                    .addLast("expect-continue", new HttpServerExpectContinueHandler())
+                    .addLast("handler", newHandler(channel));
+        }
+
+        private NettyHandler newHandler(SocketChannel channel) {
+            return new NettyHandler(
+                    channel.eventLoop(),
+                    mApplication,
+                    mLimits.maxBodyBytes(),
+                    mOptions.getBufferSize(),
+                    new DefaultHttpDataFactory(false),
+                    false,
+                    false);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/http/ErrorBody.java
@@ -0,0 +1,31 @@
+package org.catkinproxy.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import org.catkinproxy.error.CatkinException;
+
+/** Writes errors as JSON, in the one form that all interfaces use. Stateless; thread-safe. */
+public final class ErrorBody {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private ErrorBody() {}
+
+    /** Returns the body of an error answer, a JSON text. */
+    public static String of(CatkinException error) {
+        ObjectNode root = MAPPER.createObjectNode();
+        root.putObject("error")
+                .put("code", error.code().wire())
+                .put("type", error.code().wire())
+                .put("message", error.getMessage())
+                .put("step", error.step().wire())
+                .put("peer", error.peer())
+                .put("outcome", error.outcome().wire());
+        try {
+            return MAPPER.writeValueAsString(root);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree of strings is always writable", e);
+        }
+    }
+}
