--- a/core/src/main/java/org/catkinproxy/route/RouteAction.java
+++ b/core/src/main/java/org/catkinproxy/route/RouteAction.java
@@ -7,7 +7,11 @@
 
 /** What the dispatcher asks for. All actions are immutable. */
 public sealed interface RouteAction {
-    /** Send the request to the engine. */
+    /**
+     * Send the request to the engine.
+     *
+     * @param expectedFirstTokenNanos when the first token is expected, on the clock of the events
+     */
     record Dispatch(
             RequestId request,
             EngineId engine,
--- a/core/src/main/java/org/catkinproxy/route/RouteEvent.java
+++ b/core/src/main/java/org/catkinproxy/route/RouteEvent.java
@@ -33,6 +33,9 @@
     /** An engine gets no new work from now on: it leaves, is stopped or can not be reached. */
     record Unavailable(EngineId engine) implements RouteEvent {}
 
+    /** An engine may get new work again, after it was said to be unavailable. */
+    record Available(EngineId engine) implements RouteEvent {}
+
     /** Blocks entered or left an engine's cache. */
     record CacheChanged(
             EngineId engine,
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/route/ShareTable.java
@@ -0,0 +1,24 @@
+package org.catkinproxy.route;
+
+import org.catkinproxy.id.WorkspaceId;
+
+import java.util.Map;
+
+/**
+ * The weights of workspaces in fair queueing; one for a workspace that is not named.
+ *
+ * <p>Immutable, and so safe for use by any thread.
+ */
+record ShareTable(Map<WorkspaceId, Integer> shares) {
+    private static final int DEFAULT_SHARE = 1;
+
+    static final ShareTable EQUAL = new ShareTable(Map.of());
+
+    ShareTable {
+        shares = Map.copyOf(shares);
+    }
+
+    double of(WorkspaceId workspace) {
+        return Math.max(DEFAULT_SHARE, shares.getOrDefault(workspace, DEFAULT_SHARE));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/route/Waiting.java
@@ -0,0 +1,26 @@
+package org.catkinproxy.route;
+
+import org.catkinproxy.id.EngineId;
+
+import java.util.Set;
+
+/**
+ * One request that waits in this router.
+ *
+ * <p>Owned by the dispatcher's task; not safe for use by several threads.
+ */
+final class Waiting {
+    final RouteRequest mRequest;
+    final Set<EngineId> mExcluded;
+    final long mArrivedNanos;
+
+    /** What it will use of an engine, in prompt tokens to compute, as estimated last. */
+    long mCostTokens;
+
+    Waiting(RouteRequest request, Set<EngineId> excluded, long arrivedNanos) {
+        mRequest = request;
+        mExcluded = excluded;
+        mArrivedNanos = arrivedNanos;
+        mCostTokens = request.blocks().promptTokens();
+    }
+}
