--- a/daemon/src/main/java/org/catkinproxy/observe/EventLog.java
+++ b/daemon/src/main/java/org/catkinproxy/observe/EventLog.java
@@ -2,7 +2,6 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.ParameterizedMessage;
 
 /**
  * Writes numbered events to the process's log.
@@ -16,7 +15,8 @@
 
     /** Writes one event; {@code args} fill its template. */
     public static void log(LogEvent event, Object... args) {
-        String text = ParameterizedMessage.format(event.template(), args);
-        LOGGER.log(event.level(), "{} {}", event.number(), text);
+        if (LOGGER.isEnabled(event.level())) {
+            LOGGER.log(event.level(), EventMessage.of(event, args));
+        }
     }
 }
