--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/caller/CompletionHandler.java
@@ -0,0 +1,205 @@
+package org.catkinproxy.caller;
+
+import com.google.common.hash.Hashing;
+
+import org.catkinproxy.cache.PromptBlocks;
+import org.catkinproxy.config.Assignment;
+import org.catkinproxy.config.Configuration;
+import org.catkinproxy.config.Priority;
+import org.catkinproxy.config.Workspace;
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.error.Step;
+import org.catkinproxy.id.RequestId;
+import org.catkinproxy.id.Weights;
+import org.catkinproxy.relay.AnswerSink;
+import org.catkinproxy.relay.Relay;
+import org.catkinproxy.relay.RelayRequest;
+import org.catkinproxy.relay.RelayTask;
+import org.catkinproxy.route.RouteRequest;
+import org.catkinproxy.stream.ResumeToken;
+import org.catkinproxy.stream.ResumeTokenCodec;
+import org.catkinproxy.upstream.GenerateRequest;
+
+import io.jooby.Context;
+import io.jooby.MediaType;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongSupplier;
+
+/**
+ * Takes requests for completions: checks them, and hands them to the relay.
+ *
+ * <p>Whatever is thrown here is a refusal of a request that reached no engine. Safe for use by any
+ * thread.
+ */
+final class CompletionHandler {
+    private static final String DEADLINE_HEADER = "Catkin-Deadline-Ms";
+    private static final String RESUME_HEADER = "Last-Event-ID";
+
+    private final Gate mGate;
+    private final Relay mRelay;
+    private final ResumeTokenCodec mTokens;
+    private final CallerLimits mLimits;
+    private final RateLimiter mRates;
+    private final LongSupplier mClock;
+
+    CompletionHandler(
+            Gate gate,
+            Relay relay,
+            ResumeTokenCodec tokens,
+            CallerLimits limits,
+            RateLimiter rates,
+            LongSupplier clock) {
+        mGate = gate;
+        mRelay = relay;
+        mTokens = tokens;
+        mLimits = limits;
+        mRates = rates;
+        mClock = clock;
+    }
+
+    /** Takes one request; the answer follows on the context. */
+    Object handle(Context ctx, CompletionShape shape) {
+        Configuration configuration = mGate.configuration();
+        Workspace workspace = Authenticator.workspaceOf(ctx, configuration);
+        checkContentType(ctx);
+        byte[] body = ctx.body().bytes();
+        CompletionRequest completion = CompletionParser.parse(shape, body, mLimits.maxTokens());
+        Assignment assignment =
+                configuration
+                        .assignment(workspace.id(), completion.model())
+                        .orElseThrow(() -> refusal(ErrorCode.UNKNOWN_MODEL));
+        Optional<ResumeToken> resume = resumeToken(ctx);
+        checkAdmission(workspace, resume);
+        Answering answering = answering(workspace, assignment, completion, body, resume);
+        start(ctx, answering, relayRequest(ctx, configuration, assignment, answering));
+        return ctx;
+    }
+
+    private void start(Context ctx, Answering answering, RelayRequest request) {
+        if (!answering.completion().stream()) {
+            mRelay.prepare(request, new WholeSink(ctx, answering)).start();
+            return;
+        }
+        // The sink needs a way to end the task, which needs the sink.
+        AtomicReference<RelayTask> task = new AtomicReference<>();
+        AnswerSink sink =
+                new StreamingSink(
+                        ctx, answering, mTokens, mLimits.heartbeat(), () -> task.get().leave());
+        task.set(mRelay.prepare(request, sink));
+        task.get().start();
+    }
+
+    private Answering answering(
+            Workspace workspace,
+            Assignment assignment,
+            CompletionRequest completion,
+            byte[] body,
+            Optional<ResumeToken> resume) {
+        String digest = Hashing.sha256().hashBytes(body).toString();
+        resume.ifPresent(token -> checkResume(token, workspace, digest));
+        Weights weights = resume.map(ResumeToken::weights).orElse(assignment.weights());
+        return new Answering(
+                resume.map(ResumeToken::request).orElseGet(CompletionHandler::newRequestId),
+                workspace.id(),
+                weights,
+                completion,
+                digest,
+                TimeUnit.MILLISECONDS.toSeconds(System.currentTimeMillis()),
+                PromptBlocks.of(workspace.id(), weights, completion.prompt()),
+                resume);
+    }
+
+    private RelayRequest relayRequest(
+            Context ctx, Configuration configuration, Assignment assignment, Answering answering) {
+        CompletionRequest completion = answering.completion();
+        PromptBlocks blocks =
+                PromptBlocks.of(answering.workspace(), answering.weights(), completion.prompt());
+        Priority priority =
+                configuration
+                        .kindOfModelRequest(
+                                answering.workspace(), completion.model(), completion.user())
+                        .priority();
+        RouteRequest route =
+                new RouteRequest(
+                        answering.request(),
+                        answering.workspace(),
+                        answering.weights(),
+                        assignment.pool(),
+                        priority,
+                        answering.blocks(),
+                        completion.maxTokens(),
+                        mClock.getAsLong() + deadline(ctx).toNanos());
+        GenerateRequest generate =
+                new GenerateRequest(
+                        answering.request(),
+                        answering.workspace(),
+                        answering.weights(),
+                        priority,
+                        completion.prompt(),
+                        answering.blocks(),
+                        completion.maxTokens());
+        return new RelayRequest(generate, route, answering.resume());
+    }
+
+    private void checkAdmission(Workspace workspace, Optional<ResumeToken> resume) {
+        // Taking an answer up again is part of a request that was admitted before.
+        if (resume.isEmpty() && !mGate.isOpen()) {
+            throw refusal(ErrorCode.STOPPING);
+        }
+        if (!mGate.isFresh()) {
+            throw refusal(ErrorCode.NOT_CONFIGURED);
+        }
+        if (!mRates.tryAcquire(workspace.id())) {
+            throw refusal(ErrorCode.RATE_LIMITED);
+        }
+        if (mRelay.inProgress() >= mLimits.maxConcurrentRequests()) {
+            throw refusal(ErrorCode.QUEUE_FULL);
+        }
+    }
+
+    private Optional<ResumeToken> resumeToken(Context ctx) {
+        return ctx.header(RESUME_HEADER).toOptional().map(mTokens::read);
+    }
+
+    private static void checkResume(ResumeToken token, Workspace workspace, String digest) {
+        boolean own = token.workspace().equals(workspace.id());
+        if (!own || !token.requestDigest().equals(digest)) {
+            throw refusal(ErrorCode.INVALID_RESUME_TOKEN);
+        }
+    }
+
+    private Duration deadline(Context ctx) {
+        String text = ctx.header(DEADLINE_HEADER).value("");
+        if (text.isEmpty()) {
+            return mLimits.defaultDeadline();
+        }
+        try {
+            long millis = Long.parseLong(text);
+            long most = mLimits.maxDeadline().toMillis();
+            return Duration.ofMillis(Math.max(1, Math.min(millis, most)));
+        } catch (NumberFormatException e) {
+            throw refusal(ErrorCode.MALFORMED_BODY);
+        }
+    }
+
+    private static void checkContentType(Context ctx) {
+        MediaType type = ctx.getRequestType();
+        if (type == null || !type.matches(MediaType.json)) {
+            throw refusal(ErrorCode.WRONG_CONTENT_TYPE);
+        }
+    }
+
+    private static RequestId newRequestId() {
+        return RequestId.of(UUID.randomUUID().toString());
+    }
+
+    private static CatkinException refusal(ErrorCode code) {
+        return CatkinException.notRun(code, Step.ADMIT, CatkinException.NO_PEER, code.meaning());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/caller/CompletionParser.java
@@ -0,0 +1,129 @@
+package org.catkinproxy.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.error.Step;
+
+import java.io.IOException;
+
+/**
+ * Reads the bodies of completion requests.
+ *
+ * <p>Fields that the router does not need are passed over. Whatever can not be read is a {@link
+ * CatkinException} with code {@code MALFORMED_BODY}. Stateless; thread-safe.
+ */
+final class CompletionParser {
+    private static final int DEFAULT_MAX_TOKENS = 256;
+    private static final int MAX_DEPTH = 64;
+    private static final ObjectMapper MAPPER = mapper();
+
+    private CompletionParser() {}
+
+    static CompletionRequest parse(CompletionShape shape, byte[] body, int maxTokensLimit) {
+        JsonNode root = read(body);
+        if (!root.isObject()) {
+            throw malformed("the body is no JSON object");
+        }
+        int maxTokens = maxTokens(root);
+        if (maxTokens < 1 || maxTokens > maxTokensLimit) {
+            throw malformed("max_tokens is not between 1 and " + maxTokensLimit);
+        }
+        return new CompletionRequest(
+                shape,
+                text(root, "model"),
+                prompt(shape, root),
+                maxTokens,
+                root.path("stream").asBoolean(false),
+                root.path("stream_options").path("include_usage").asBoolean(false),
+                root.path("user").asText(""));
+    }
+
+    private static JsonNode read(byte[] body) {
+        try {
+            return MAPPER.readTree(body);
+        } catch (JsonProcessingException e) {
+            throw malformed("the body is not JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw malformed("the body is not JSON");
+        }
+    }
+
+    private static int maxTokens(JsonNode root) {
+        JsonNode node = root.path("max_completion_tokens");
+        if (node.isMissingNode() || node.isNull()) {
+            node = root.path("max_tokens");
+        }
+        if (node.isMissingNode() || node.isNull()) {
+            return DEFAULT_MAX_TOKENS;
+        }
+        if (!node.canConvertToInt()) {
+            throw malformed("max_tokens is no whole number");
+        }
+        return node.asInt();
+    }
+
+    private static String prompt(CompletionShape shape, JsonNode root) {
+        return shape == CompletionShape.CHAT ? chatPrompt(root) : text(root, "prompt");
+    }
+
+    /** Writes all messages in one form, so that equal beginnings give equal prompts. */
+    private static String chatPrompt(JsonNode root) {
+        JsonNode messages = root.path("messages");
+        if (!messages.isArray() || messages.isEmpty()) {
+            throw malformed("messages is no list, or empty");
+        }
+        StringBuilder prompt = new StringBuilder();
+        for (JsonNode message : messages) {
+            prompt.append("<|").append(text(message, "role")).append("|>\n");
+            appendContent(prompt, message.path("content"));
+            prompt.append('\n');
+        }
+        return prompt.append("<|assistant|>\n").toString();
+    }
+
+    private static void appendContent(StringBuilder prompt, JsonNode content) {
+        if (content.isTextual()) {
+            prompt.append(content.asText());
+            return;
+        }
+        if (!content.isArray()) {
+            throw malformed("content is neither text nor a list of parts");
+        }
+        for (JsonNode part : content) {
+            if (!part.path("type").asText().equals("text")) {
+                throw malformed("only parts of type text are served");
+            }
+            prompt.append(text(part, "text"));
+        }
+    }
+
+    private static String text(JsonNode node, String field) {
+        JsonNode value = node.path(field);
+        if (!value.isTextual()) {
+            throw malformed(field + " is missing or no text");
+        }
+        return value.asText();
+    }
+
+    private static CatkinException malformed(String message) {
+        return CatkinException.notRun(
+                ErrorCode.MALFORMED_BODY, Step.PARSE, CatkinException.NO_PEER, message);
+    }
+
+    private static ObjectMapper mapper() {
+        ObjectMapper mapper = JsonMapper.builder().build();
+        mapper.getFactory()
+                .setStreamReadConstraints(
+                        StreamReadConstraints.builder()
+                                .maxNestingDepth(MAX_DEPTH)
+                                .maxStringLength(Integer.MAX_VALUE)
+                                .build());
+        return mapper;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/dispatch/DispatchTask.java
@@ -0,0 +1,157 @@
+package org.catkinproxy.dispatch;
+
+import org.catkinproxy.id.EngineId;
+import org.catkinproxy.id.RequestId;
+import org.catkinproxy.observe.EventLog;
+import org.catkinproxy.observe.LogEvent;
+import org.catkinproxy.route.DispatchSettings;
+import org.catkinproxy.route.Dispatcher;
+import org.catkinproxy.route.Explanation;
+import org.catkinproxy.route.RouteAction;
+import org.catkinproxy.route.RouteEvent;
+import org.catkinproxy.route.RouteRequest;
+import org.catkinproxy.task.Mailbox;
+
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.Disposable;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Owns the dispatcher: gives it events one at a time and carries out its actions.
+ *
+ * <p>All state is touched only on the mailbox's worker; every public method may be called by any
+ * thread.
+ */
+public final class DispatchTask implements Disposable {
+    private static final long TICK_MILLIS = 20;
+
+    private final Dispatcher mDispatcher;
+    private final LongSupplier mClock;
+    private final Consumer<EngineId> mResync;
+    private final Map<RequestId, Consumer<RouteAction>> mListeners = new HashMap<>();
+    private final Mailbox<Runnable> mMailbox;
+    private final Disposable mTicks;
+
+    private DispatchTask(
+            DispatchSettings settings,
+            RandomGenerator random,
+            LongSupplier clock,
+            Scheduler scheduler,
+            Consumer<EngineId> resync) {
+        mDispatcher = Dispatcher.create(settings, random);
+        mClock = clock;
+        mResync = resync;
+        mMailbox =
+                Mailbox.open(
+                        scheduler,
+                        Runnable::run,
+                        e -> EventLog.log(LogEvent.TASK_FAILED, "dispatch", e));
+        mTicks =
+                Flowable.interval(TICK_MILLIS, TimeUnit.MILLISECONDS, scheduler)
+                        .onBackpressureDrop()
+                        .subscribe(t -> tell(new RouteEvent.Tick()));
+    }
+
+    /**
+     * Starts the task.
+     *
+     * @param clock the monotonic clock, in nanoseconds, that deadlines refer to
+     * @param resync is told of engines whose cache events were lost
+     */
+    public static DispatchTask start(
+            DispatchSettings settings,
+            RandomGenerator random,
+            LongSupplier clock,
+            Scheduler scheduler,
+            Consumer<EngineId> resync) {
+        return new DispatchTask(settings, random, clock, scheduler, resync);
+    }
+
+    /** Tells the dispatcher of an event that is no arrival. */
+    public void tell(RouteEvent event) {
+        mMailbox.post(() -> handle(event));
+    }
+
+    /**
+     * Asks for an engine.
+     *
+     * @param listener gets exactly one {@code Dispatch} or {@code Refuse}, unless the request is
+     *     withdrawn before; it runs on the task's worker and must not block
+     */
+    public void route(
+            RouteRequest request, List<EngineId> excluded, Consumer<RouteAction> listener) {
+        mMailbox.post(
+                () -> {
+                    mListeners.put(request.id(), listener);
+                    handle(new RouteEvent.Arrived(request, excluded));
+                });
+    }
+
+    /** Withdraws a request, whether it waits or is at an engine. */
+    public void withdraw(RequestId request) {
+        mMailbox.post(
+                () -> {
+                    mListeners.remove(request);
+                    handle(new RouteEvent.Withdrawn(request));
+                });
+    }
+
+    /** Returns why a request would go where it would go now. */
+    public Single<Explanation> explain(RouteRequest request) {
+        return Single.create(
+                emitter ->
+                        mMailbox.post(
+                                () ->
+                                        emitter.onSuccess(
+                                                mDispatcher.explain(mClock.getAsLong(), request))));
+    }
+
+    /** Returns what this router has sent to each engine and not yet seen answered. */
+    public Single<Map<EngineId, RouteEvent.InFlight>> inFlight() {
+        return Single.create(
+                emitter -> mMailbox.post(() -> emitter.onSuccess(mDispatcher.inFlight())));
+    }
+
+    @Override
+    public void dispose() {
+        mTicks.dispose();
+        mMailbox.dispose();
+    }
+
+    @Override
+    public boolean isDisposed() {
+        return mMailbox.isDisposed();
+    }
+
+    private void handle(RouteEvent event) {
+        for (RouteAction action : mDispatcher.handle(mClock.getAsLong(), event)) {
+            perform(action);
+        }
+    }
+
+    private void perform(RouteAction action) {
+        if (action instanceof RouteAction.Dispatch dispatch) {
+            answer(dispatch.request(), dispatch);
+        } else if (action instanceof RouteAction.Refuse refuse) {
+            answer(refuse.request(), refuse);
+        } else if (action instanceof RouteAction.Resync resync) {
+            mResync.accept(resync.engine());
+        }
+    }
+
+    private void answer(RequestId request, RouteAction action) {
+        Consumer<RouteAction> listener = mListeners.remove(request);
+        if (listener != null) {
+            listener.accept(action);
+        }
+    }
+}
--- a/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
+++ b/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
@@ -17,6 +17,8 @@
     REQUEST_REFUSED(201, Level.INFO, "request {} refused: {}"),
     STREAM_CONTINUED(202, Level.WARN, "request {} continues after token {} on engine {}: {}"),
     STREAM_BROKEN(203, Level.ERROR, "request {} could not be continued after token {}: {}"),
+    ENGINE_LOST(204, Level.WARN, "engine {} does not answer; it gets no new work"),
+    ENGINE_BACK(205, Level.INFO, "engine {} answers again"),
     // 300: calls that may not be repeated
     // 400: configuration
     // 500: peers and membership
--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/relay/Relay.java
@@ -0,0 +1,48 @@
+package org.catkinproxy.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.catkinproxy.dispatch.DispatchTask;
+import org.catkinproxy.upstream.EngineClient;
+import org.catkinproxy.upstream.EngineFleet;
+
+import io.reactivex.rxjava3.core.Scheduler;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Starts a task for each request and counts those in progress.
+ *
+ * <p>Safe for use by any thread.
+ */
+public final class Relay {
+    private final DispatchTask mDispatch;
+    private final EngineFleet mFleet;
+    private final EngineClient mClient;
+    private final Scheduler mScheduler;
+    private final AtomicInteger mInProgress = new AtomicInteger();
+
+    private Relay(
+            DispatchTask dispatch, EngineFleet fleet, EngineClient client, Scheduler scheduler) {
+        mDispatch = checkNotNull(dispatch, "dispatch");
+        mFleet = checkNotNull(fleet, "fleet");
+        mClient = checkNotNull(client, "client");
+        mScheduler = checkNotNull(scheduler, "scheduler");
+    }
+
+    /** Returns a relay over these engines. */
+    public static Relay create(
+            DispatchTask dispatch, EngineFleet fleet, EngineClient client, Scheduler scheduler) {
+        return new Relay(dispatch, fleet, client, scheduler);
+    }
+
+    /** Returns a task that begins to relay once it is started. */
+    public RelayTask prepare(RelayRequest request, AnswerSink sink) {
+        return RelayTask.create(request, sink, mDispatch, mFleet, mClient, mScheduler, mInProgress);
+    }
+
+    /** Returns how many answers are on their way. */
+    public int inProgress() {
+        return mInProgress.get();
+    }
+}
