--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/service/CallStatus.java
@@ -0,0 +1,23 @@
+package org.catkinproxy.service;
+
+import org.catkinproxy.call.CallAnswer;
+
+import java.util.Optional;
+
+/**
+ * What a service says of an earlier call.
+ *
+ * <p>Immutable. An empty answer says nothing: the call may not have run yet, or the service could
+ * not be asked.
+ *
+ * @param answer the call's answer if the service says that it ran
+ */
+public record CallStatus(Optional<CallAnswer> answer) {
+    /** The status of a call that is not known to have run. */
+    public static final CallStatus NOT_KNOWN = new CallStatus(Optional.empty());
+
+    /** Returns the status of a call that ran and answered {@code answer}. */
+    public static CallStatus done(CallAnswer answer) {
+        return new CallStatus(Optional.of(answer));
+    }
+}
