Claim, send, record and settle calls that may run at most once

CallMachine is the pure machine of one attempt: it claims the row before a byte is sent, settles ambiguous writes by reading back for its own attempt, releases what it gave up by compare-and-set, and lets a signed receipt take over an abandoned claim. CallTask runs its actions against the table, the object store (bodies over 48 KiB) and the service client.

No claim expires by time: a lease on the claim was ruled out, since a paused holder could then be overtaken and send a second time.

--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/call/CallRequest.java
@@ -0,0 +1,40 @@
+package org.catkinproxy.call;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.catkinproxy.id.AttemptId;
+
+import java.util.Optional;
+
+/**
+ * What an attempt at a call starts from.
+ *
+ * <p>Immutable, and so safe for use by any thread.
+ *
+ * @param claim the record by which the attempt claims the call; its time is now
+ * @param instances how many instances of the service can be tried
+ * @param abandoned the attempt that a valid receipt of the caller's says was never sent and never
+ *     will be
+ * @param statusTrusted whether the service's own account of the key can be believed
+ * @param retentionMillis how long a key is answered for, in milliseconds
+ */
+public record CallRequest(
+        CallRecord claim,
+        int instances,
+        Optional<AttemptId> abandoned,
+        boolean statusTrusted,
+        long retentionMillis) {
+    /** Checks the ranges. */
+    public CallRequest {
+        checkArgument(claim.state() == CallState.CLAIMED, "not a claim: %s", claim.state());
+        checkArgument(instances >= 0, "instances is negative: %s", instances);
+        checkNotNull(abandoned, "abandoned");
+        checkArgument(retentionMillis > 0, "retentionMillis: %s", retentionMillis);
+    }
+
+    /** Returns the id of this attempt. */
+    AttemptId attempt() {
+        return claim.attempt();
+    }
+}
--- a/core/src/main/java/org/catkinproxy/error/ErrorCode.java
+++ b/core/src/main/java/org/catkinproxy/error/ErrorCode.java
@@ -17,6 +17,8 @@
     SLOW_SENDER(408, "the body did not arrive in time"),
     MISSING_IDEMPOTENCY_KEY(400, "a call that may run once needs an idempotency key"),
     IDEMPOTENCY_KEY_REUSED(422, "the idempotency key was used with another body"),
+    IDEMPOTENCY_KEY_EXPIRED(422, "the idempotency key is older than answers are kept"),
+    CALL_RESOLVED(409, "an operator settled the call, and no answer is recorded"),
     CALL_IN_PROGRESS(409, "another attempt at this call is open"),
     CALL_OUTCOME_UNKNOWN(502, "it is not known whether the call ran"),
     DEADLINE_UNREACHABLE(503, "the deadline can not be met"),
--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/calls/CallCodec.java
@@ -0,0 +1,136 @@
+package org.catkinproxy.calls;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.hash.Hashing;
+
+import org.catkinproxy.call.CallAnswer;
+import org.catkinproxy.call.CallRecord;
+import org.catkinproxy.call.CallResolution;
+import org.catkinproxy.call.CallState;
+import org.catkinproxy.id.AttemptId;
+import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.id.ServiceId;
+
+import java.util.Base64;
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * Turns call records into the JSON of their rows and back.
+ *
+ * <p>A body of more than {@link #MAX_INLINE_BYTES} is not in the row, which then names the object
+ * that holds it. Stateless; safe for use by any thread.
+ */
+final class CallCodec {
+    /** The largest body that is kept in the row itself. */
+    static final int MAX_INLINE_BYTES = 48 << 10;
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private CallCodec() {}
+
+    /** Tells whether a record's body has to be kept in an object. */
+    static boolean needsObject(CallRecord record) {
+        return record.answer().filter(a -> a.body().length > MAX_INLINE_BYTES).isPresent();
+    }
+
+    /** Returns the name of the object that holds a body. */
+    static String objectName(byte[] body) {
+        return "call-answer-" + Hashing.sha256().hashBytes(body);
+    }
+
+    /** Returns the text of a row. */
+    static String encode(CallRecord record) {
+        ObjectNode json = MAPPER.createObjectNode();
+        json.put("state", record.state().wire());
+        json.put("attempt", record.attempt().value());
+        json.put("router", record.router().value());
+        json.put("service", record.service().value());
+        json.put("operation", record.operation());
+        json.put("digest", record.digest());
+        json.put("createdMs", record.createdMillis());
+        record.answer().ifPresent(a -> encodeAnswer(json.putObject("answer"), a));
+        record.resolution().ifPresent(r -> encodeResolution(json.putObject("resolution"), r));
+        return json.toString();
+    }
+
+    /** Returns the name of the object that holds the body of the row's answer, if one does. */
+    static Optional<String> objectOf(String row) {
+        JsonNode object = parse(row).path("answer").path("object");
+        return object.isTextual() ? Optional.of(object.asText()) : Optional.empty();
+    }
+
+    /**
+     * Returns the record in a row.
+     *
+     * @param object the content of the object that the row names, empty if it names none
+     * @throws IllegalArgumentException if the row is not one of a call
+     */
+    static CallRecord decode(String row, byte[] object) {
+        JsonNode json = parse(row);
+        CallState state = CallState.valueOf(text(json, "state").toUpperCase(Locale.ROOT));
+        return new CallRecord(
+                state,
+                AttemptId.of(text(json, "attempt")),
+                InstanceId.of(text(json, "router")),
+                ServiceId.of(text(json, "service")),
+                text(json, "operation"),
+                text(json, "digest"),
+                json.path("createdMs").asLong(),
+                state == CallState.DONE
+                        ? Optional.of(decodeAnswer(json.path("answer"), object))
+                        : Optional.empty(),
+                state == CallState.RESOLVED
+                        ? Optional.of(decodeResolution(json.path("resolution")))
+                        : Optional.empty());
+    }
+
+    private static void encodeAnswer(ObjectNode json, CallAnswer answer) {
+        json.put("status", answer.status());
+        json.put("contentType", answer.contentType());
+        if (answer.body().length > MAX_INLINE_BYTES) {
+            json.put("object", objectName(answer.body()));
+        } else {
+            json.put("body", Base64.getEncoder().encodeToString(answer.body()));
+        }
+    }
+
+    private static CallAnswer decodeAnswer(JsonNode json, byte[] object) {
+        byte[] body = json.has("object") ? object : Base64.getDecoder().decode(text(json, "body"));
+        return new CallAnswer(json.path("status").asInt(), text(json, "contentType"), body);
+    }
+
+    private static void encodeResolution(ObjectNode json, CallResolution resolution) {
+        json.put("ran", resolution.ran());
+        json.put("note", resolution.note());
+        json.put("operator", resolution.operator());
+        json.put("atMs", resolution.atMillis());
+    }
+
+    private static CallResolution decodeResolution(JsonNode json) {
+        return new CallResolution(
+                json.path("ran").asBoolean(),
+                text(json, "note"),
+                text(json, "operator"),
+                json.path("atMs").asLong());
+    }
+
+    private static JsonNode parse(String row) {
+        try {
+            return MAPPER.readTree(row);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("the row is not JSON", e);
+        }
+    }
+
+    private static String text(JsonNode json, String field) {
+        JsonNode value = json.path(field);
+        if (!value.isTextual()) {
+            throw new IllegalArgumentException("the row has no text in '" + field + "'");
+        }
+        return value.asText();
+    }
+}
--- a/daemon/src/main/java/org/catkinproxy/calls/CallRunner.java
+++ b/daemon/src/main/java/org/catkinproxy/calls/CallRunner.java
@@ -2,18 +2,30 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+
+import org.catkinproxy.call.CallReceipt;
+import org.catkinproxy.call.CallRecord;
+import org.catkinproxy.call.CallRequest;
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.error.ErrorCode;
 import org.catkinproxy.error.Step;
 import org.catkinproxy.id.AttemptId;
+import org.catkinproxy.id.CallKey;
 import org.catkinproxy.platform.ObjectStore;
 import org.catkinproxy.platform.TableService;
 import org.catkinproxy.service.ServiceClient;
 
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.schedulers.Schedulers;
 
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Runs callers' calls of plain services.
@@ -23,17 +35,26 @@
  * caller goes away. Safe for use by any thread.
  */
 public final class CallRunner implements Disposable {
+    /** How many callers may wait for calls that run at most once. */
+    private static final int MAX_WAITING = 4_096;
+
     private final CallSettings mSettings;
+    private final CallReceipt mReceipts;
     private final IdempotentCalls mIdempotent;
-    private volatile boolean mDisposed;
+    private final CallTask mTask;
+    private final AtomicInteger mWaiting = new AtomicInteger();
 
-    private CallRunner(
-            CallSettings settings,
-            TableService tables,
-            ObjectStore objects,
-            ServiceClient services) {
+    private CallRunner(CallSettings settings, CallTable table, ServiceClient services) {
         mSettings = settings;
-        mIdempotent = new IdempotentCalls(services, this::newAttempt, System::nanoTime);
+        mReceipts = CallReceipt.withKey(settings.receiptKey());
+        mIdempotent = new IdempotentCalls(services, CallRunner::newAttempt, System::nanoTime);
+        mTask =
+                new CallTask(
+                        table,
+                        services,
+                        mReceipts,
+                        Schedulers.computation(),
+                        () -> ThreadLocalRandom.current().nextDouble());
     }
 
     /** Makes a runner over the given ports. */
@@ -46,7 +67,7 @@
         checkNotNull(tables, "tables");
         checkNotNull(objects, "objects");
         checkNotNull(services, "services");
-        return new CallRunner(settings, tables, objects, services);
+        return new CallRunner(settings, new CallTable(tables, objects), services);
     }
 
     /** Runs a call; the result never fails, and disposing of it does not cancel the call. */
@@ -54,26 +75,76 @@
         if (call.kind().isIdempotent()) {
             return mIdempotent.run(call);
         }
-        return Single.just(
-                CallResult.Refused.of(
-                        CatkinException.notRun(
-                                ErrorCode.INTERNAL,
-                                Step.CLAIM,
-                                CatkinException.NO_PEER,
-                                "calls that may run once are not served yet")));
+        if (call.key().isEmpty()) {
+            return refusal(ErrorCode.MISSING_IDEMPOTENCY_KEY);
+        }
+        if (mWaiting.incrementAndGet() > MAX_WAITING) {
+            mWaiting.decrementAndGet();
+            return refusal(ErrorCode.QUEUE_FULL);
+        }
+        Single<CallResult> result = begin(call, CallKey.of(call.workspace(), call.key().get()));
+        result.subscribe(r -> mWaiting.decrementAndGet());
+        return result;
+    }
+
+    /** Returns how many callers wait for calls that run at most once. */
+    public int waiting() {
+        return mWaiting.get();
     }
 
     @Override
     public void dispose() {
-        mDisposed = true;
+        mTask.dispose();
     }
 
     @Override
     public boolean isDisposed() {
-        return mDisposed;
+        return mTask.isDisposed();
+    }
+
+    private Single<CallResult> begin(ServiceCall call, CallKey key) {
+        CallRecord claim =
+                CallRecord.claimed(
+                        newAttempt(),
+                        mSettings.router(),
+                        call.service(),
+                        call.method() + " " + call.path(),
+                        digest(call),
+                        System.currentTimeMillis());
+        Optional<AttemptId> abandoned = call.receipt().flatMap(r -> mReceipts.verify(key, r));
+        CallRequest request =
+                new CallRequest(
+                        claim,
+                        call.instances().size(),
+                        abandoned,
+                        call.ownsKeys(),
+                        mSettings.retention().toMillis());
+        return mTask.open(call, request, key);
     }
 
-    private AttemptId newAttempt() {
+    private static AttemptId newAttempt() {
         return AttemptId.of(UUID.randomUUID().toString());
     }
+
+    private static String digest(ServiceCall call) {
+        Hasher hasher = Hashing.sha256().newHasher();
+        String head =
+                String.join(
+                        "\n",
+                        call.service().value(),
+                        call.method(),
+                        call.path(),
+                        call.contentType());
+        hasher.putInt(head.length());
+        hasher.putString(head, StandardCharsets.UTF_8);
+        hasher.putBytes(call.body());
+        return hasher.hash().toString();
+    }
+
+    private static Single<CallResult> refusal(ErrorCode code) {
+        return Single.just(
+                CallResult.Refused.of(
+                        CatkinException.notRun(
+                                code, Step.CLAIM, CatkinException.NO_PEER, code.meaning())));
+    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/calls/CallTable.java
@@ -0,0 +1,119 @@
+package org.catkinproxy.calls;
+
+import org.catkinproxy.call.CallRecord;
+import org.catkinproxy.call.StoredCall;
+import org.catkinproxy.id.CallKey;
+import org.catkinproxy.id.IdempotencyKey;
+import org.catkinproxy.id.WorkspaceId;
+import org.catkinproxy.platform.ObjectStore;
+import org.catkinproxy.platform.RowWrite;
+import org.catkinproxy.platform.TableRow;
+import org.catkinproxy.platform.TableService;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Maybe;
+import io.reactivex.rxjava3.core.Single;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Reads and writes call records in the table {@code calls}.
+ *
+ * <p>A body too large for a row goes to the object store before the row is written, so that a row
+ * never names an object that is not there. Immutable; safe for use by any thread.
+ */
+final class CallTable {
+    private static final String TABLE = "calls";
+    private static final String AUDIT_TABLE = "audit";
+    private static final char SEPARATOR = '~';
+    private static final long TIMEOUT_MILLIS = 5_000;
+
+    private final TableService mTables;
+    private final ObjectStore mObjects;
+
+    CallTable(TableService tables, ObjectStore objects) {
+        mTables = tables;
+        mObjects = objects;
+    }
+
+    /** Reads a call; empty if its key was never claimed. */
+    Maybe<StoredCall> read(CallKey key) {
+        return mTables.get(TABLE, rowKey(key))
+                .flatMap(row -> decode(row).toMaybe())
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Writes a call whose row is at version {@code expected}; returns the new version. */
+    Single<Long> write(CallKey key, long expected, CallRecord record) {
+        RowWrite write = new RowWrite(TABLE, rowKey(key), expected, CallCodec.encode(record));
+        return keepBody(record)
+                .andThen(Single.defer(() -> mTables.transact(List.of(write))))
+                .map(versions -> versions.get(0))
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Writes an operator's word, and the same into the audit table, or neither. */
+    Completable writeAudited(CallKey key, long expected, CallRecord record) {
+        String row = CallCodec.encode(record);
+        long atMillis = record.resolution().orElseThrow().atMillis();
+        String auditKey = "calls" + SEPARATOR + atMillis + SEPARATOR + rowKey(key);
+        List<RowWrite> writes = new ArrayList<>();
+        writes.add(new RowWrite(TABLE, rowKey(key), expected, row));
+        writes.add(RowWrite.insert(AUDIT_TABLE, auditKey, row));
+        return mTables.transact(writes)
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .ignoreElement();
+    }
+
+    /** Reads a page of rows, without the bodies that are kept in objects. */
+    Single<List<KeyedCall>> page(String afterRow, int limit) {
+        return mTables.scan(TABLE, "", afterRow, limit)
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .map(rows -> rows.stream().map(CallTable::keyed).toList());
+    }
+
+    private Completable keepBody(CallRecord record) {
+        if (!CallCodec.needsObject(record)) {
+            return Completable.complete();
+        }
+        byte[] body = record.answer().orElseThrow().body();
+        return mObjects.put(CallCodec.objectName(body), body);
+    }
+
+    private Single<StoredCall> decode(TableRow row) {
+        return CallCodec.objectOf(row.value())
+                .map(name -> object(name).map(body -> stored(row, body)))
+                .orElseGet(() -> Single.just(stored(row, new byte[0])));
+    }
+
+    /** Reads a body; one that is not what was written is as good as a store that is down. */
+    private Single<byte[]> object(String name) {
+        return mObjects.get(name)
+                .filter(body -> CallCodec.objectName(body).equals(name))
+                .toSingle();
+    }
+
+    private static StoredCall stored(TableRow row, byte[] object) {
+        return new StoredCall(row.version(), CallCodec.decode(row.value(), object));
+    }
+
+    private static KeyedCall keyed(TableRow row) {
+        return new KeyedCall(row.key(), callKey(row.key()), stored(row, new byte[0]));
+    }
+
+    private static String rowKey(CallKey key) {
+        return key.workspace().value() + SEPARATOR + key.key().value();
+    }
+
+    private static CallKey callKey(String rowKey) {
+        int end = rowKey.indexOf(SEPARATOR);
+        return CallKey.of(
+                WorkspaceId.of(rowKey.substring(0, end)),
+                IdempotencyKey.of(rowKey.substring(end + 1)));
+    }
+
+    /** A call as a scan finds it. */
+    record KeyedCall(String rowKey, CallKey key, StoredCall stored) {}
+}
--- a/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
+++ b/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
@@ -18,6 +18,12 @@
     STREAM_CONTINUED(202, Level.WARN, "request {} continues after token {} on engine {}: {}"),
     STREAM_BROKEN(203, Level.ERROR, "request {} could not be continued after token {}: {}"),
     // 300: calls that may not be repeated
+    CALL_READ_FAILED(301, Level.WARN, "call {} could not be read: {}"),
+    CALL_WRITE_FAILED(302, Level.WARN, "call {} may not have been written: {}"),
+    CALL_UNKNOWN(303, Level.WARN, "call {} attempt {} answered with outcome unknown: {}"),
+    CALL_CONTRADICTED(304, Level.ERROR, "call {} ran, though operator {} settled it as not run"),
+    CALL_RESOLVED(305, Level.INFO, "call {} settled by operator {}: ran={}, {}"),
+    CALL_RECORDED(306, Level.INFO, "call {} recorded from the service's own account"),
     // 400: configuration
     // 500: peers and membership
     // 600: orders and leases
