Read and write the sheet

A sheet is CSV with one fact a row; reading gives a configuration or every error with row, column, found and wanted. Names are checked across rows after all rows are read, so a row with a fault of its own still defines its name and causes no further errors. A model and a service of a workspace may not share a name, since a rule for requests names only one of them.

--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/config/SheetBuilder.java
@@ -0,0 +1,234 @@
+package org.catkinproxy.config;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.LinkedHashMultimap;
+import com.google.common.collect.SetMultimap;
+
+import org.catkinproxy.id.AdapterId;
+import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.id.ModelId;
+import org.catkinproxy.id.PoolId;
+import org.catkinproxy.id.Revision;
+import org.catkinproxy.id.ServiceId;
+import org.catkinproxy.id.Weights;
+import org.catkinproxy.id.WeightsVersion;
+import org.catkinproxy.id.WorkspaceId;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Pattern;
+
+/**
+ * Turns the rows of a sheet into a configuration, collecting every fault on the way.
+ *
+ * <p>Used by one thread while a sheet is read.
+ */
+final class SheetBuilder {
+    private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
+    private static final Set<String> WORKSPACE_OPTIONS =
+            Set.of("share", "first_token_ms", "first_token_share", "availability", "hit_rate");
+    private static final Set<String> POOL_OPTIONS = Set.of("fencing", "loads");
+    private static final String ANY = "*";
+
+    private final SheetReferences mReferences = new SheetReferences();
+    private final SetMultimap<WorkspaceId, String> mDigests = LinkedHashMultimap.create();
+    private final Map<String, Integer> mDigestRows = new HashMap<>();
+    private final List<Workspace> mWorkspaces = new ArrayList<>();
+    private final List<Pool> mPools = new ArrayList<>();
+    private final List<Member> mMembers = new ArrayList<>();
+    private final List<Assignment> mAssignments = new ArrayList<>();
+    private final List<ServiceRoute> mServices = new ArrayList<>();
+    private final List<RequestRule> mRules = new ArrayList<>();
+
+    /** Takes in one row. */
+    void add(SheetRow row) {
+        Optional<SheetKind> kind = SheetKind.ofWire(row.text(SheetColumn.KIND));
+        if (kind.isEmpty()) {
+            row.reject(SheetColumn.KIND, "one of " + SheetKind.allWords());
+            return;
+        }
+        row.rejectUnused(kind.get());
+        switch (kind.get()) {
+            case WORKSPACE_ROW -> addWorkspace(row);
+            case KEY_ROW -> addKey(row);
+            case MODEL_ROW -> addModel(row);
+            case POOL_ROW -> addPool(row);
+            case INSTANCE_ROW -> addInstance(row);
+            case SERVICE_ROW -> addService(row);
+            case REQUEST_ROW -> addRequest(row);
+            default -> throw new AssertionError(kind.get());
+        }
+    }
+
+    /** Checks what rows say of each other, and returns the configuration. */
+    Configuration build() {
+        mReferences.check();
+        List<Workspace> workspaces = new ArrayList<>();
+        for (Workspace w : mWorkspaces) {
+            Set<String> digests = mDigests.get(w.id());
+            workspaces.add(new Workspace(w.id(), w.share(), digests, w.objectives()));
+        }
+        return new Configuration(
+                Revision.NONE, workspaces, mPools, mMembers, mAssignments, mServices, mRules);
+    }
+
+    private void addWorkspace(SheetRow row) {
+        Optional<WorkspaceId> id = workspace(row);
+        String wants = "options " + String.join(", ", new TreeSet<>(WORKSPACE_OPTIONS));
+        Optional<Workspace> read =
+                row.read(
+                        SheetColumn.VALUE,
+                        v -> workspaceOf(id.orElse(WorkspaceId.of("unknown")), v),
+                        wants + " with values in their ranges");
+        id.ifPresent(w -> mReferences.defineWorkspace(row, w));
+        if (id.isPresent()) {
+            read.ifPresent(mWorkspaces::add);
+        }
+    }
+
+    private static Workspace workspaceOf(WorkspaceId id, String cell) {
+        SheetOptions options = SheetOptions.parse(cell, WORKSPACE_OPTIONS);
+        Objectives base = Objectives.DEFAULT;
+        Objectives objectives =
+                new Objectives(
+                        options.integer("first_token_ms", base.firstTokenMillis()),
+                        options.number("first_token_share", base.firstTokenShare()),
+                        options.number("availability", base.availability()),
+                        options.number("hit_rate", base.hitRate()));
+        return new Workspace(id, options.integer("share", 1), Set.of(), objectives);
+    }
+
+    private void addKey(SheetRow row) {
+        Optional<WorkspaceId> id = workspace(row);
+        id.ifPresent(w -> mReferences.useWorkspace(row, w));
+        String digest = row.text(SheetColumn.VALUE);
+        if (!DIGEST.matcher(digest).matches()) {
+            row.reject(SheetColumn.VALUE, "64 lower-case hexadecimal digits, the key's SHA-256");
+            return;
+        }
+        Integer first = mDigestRows.putIfAbsent(digest, row.number());
+        if (first != null) {
+            row.reject(SheetColumn.VALUE, "a key that row " + first + " does not have");
+            return;
+        }
+        id.ifPresent(w -> mDigests.put(w, digest));
+    }
+
+    private void addModel(SheetRow row) {
+        Optional<WorkspaceId> id = workspace(row);
+        Optional<ModelId> model = row.read(SheetColumn.MODEL, ModelId::of, "a model's name");
+        Optional<AdapterId> adapter =
+                row.isBlank(SheetColumn.ADAPTER)
+                        ? Optional.of(AdapterId.BASE)
+                        : row.read(SheetColumn.ADAPTER, AdapterId::of, "an adapter or nothing");
+        Optional<WeightsVersion> version =
+                row.read(SheetColumn.VERSION, WeightsVersion::of, "a version of the weights");
+        Optional<PoolId> pool = usedPool(row);
+        id.ifPresent(w -> mReferences.useWorkspace(row, w));
+        if (id.isPresent() && model.isPresent()) {
+            mReferences.defineModel(row, id.get(), model.get().value());
+            if (adapter.isPresent() && version.isPresent() && pool.isPresent()) {
+                Weights weights = new Weights(model.get(), adapter.get(), version.get());
+                mAssignments.add(new Assignment(id.get(), weights, pool.get()));
+            }
+        }
+    }
+
+    private void addPool(SheetRow row) {
+        Optional<PoolId> id = pool(row);
+        Optional<Pool> read =
+                row.read(
+                        SheetColumn.VALUE,
+                        v -> poolOf(id.orElse(PoolId.of("unknown")), v),
+                        "options fencing=checked or ignored, loads=1 or more");
+        id.ifPresent(p -> mReferences.definePool(row, p));
+        if (id.isPresent()) {
+            read.ifPresent(mPools::add);
+        }
+    }
+
+    private static Pool poolOf(PoolId id, String cell) {
+        SheetOptions options = SheetOptions.parse(cell, POOL_OPTIONS);
+        String fencing = options.text("fencing", "ignored");
+        checkArgument(fencing.equals("checked") || fencing.equals("ignored"), "fencing");
+        return new Pool(id, fencing.equals("checked"), options.integer("loads", 1));
+    }
+
+    private void addInstance(SheetRow row) {
+        Optional<InstanceId> id =
+                row.read(SheetColumn.INSTANCE, InstanceId::of, "an instance's name");
+        Optional<PoolId> pool = usedPool(row);
+        String value = row.text(SheetColumn.VALUE);
+        if (!value.equals("join") && !value.equals("leave")) {
+            row.reject(SheetColumn.VALUE, "join or leave");
+        }
+        id.ifPresent(i -> mReferences.defineInstance(row, i));
+        if (id.isPresent() && pool.isPresent()) {
+            mMembers.add(new Member(id.get(), pool.get(), value.equals("leave")));
+        }
+    }
+
+    private void addService(SheetRow row) {
+        Optional<WorkspaceId> id = workspace(row);
+        Optional<ServiceId> service =
+                row.read(SheetColumn.SERVICE, ServiceId::of, "a service's name");
+        Optional<PoolId> pool = usedPool(row);
+        id.ifPresent(w -> mReferences.useWorkspace(row, w));
+        if (id.isPresent() && service.isPresent()) {
+            mReferences.defineService(row, id.get(), service.get().value());
+            pool.ifPresent(p -> mServices.add(new ServiceRoute(id.get(), service.get(), p)));
+        }
+    }
+
+    private void addRequest(SheetRow row) {
+        Optional<WorkspaceId> id = workspace(row);
+        id.ifPresent(w -> mReferences.useWorkspace(row, w));
+        boolean hasModel = !row.isBlank(SheetColumn.MODEL);
+        if (hasModel != row.isBlank(SheetColumn.SERVICE)) {
+            row.reject(SheetColumn.SERVICE, "either a model or a service");
+            return;
+        }
+        Optional<RequestKind> kind =
+                row.read(SheetColumn.VALUE, SheetBuilder::kindOf, "alarm, normal, draft or filing");
+        if (hasModel && kind.filter(k -> !k.isIdempotent()).isPresent()) {
+            row.reject(SheetColumn.VALUE, "alarm, normal or draft: a model's request is no filing");
+            return;
+        }
+        SheetColumn column = hasModel ? SheetColumn.MODEL : SheetColumn.SERVICE;
+        String match = row.isBlank(SheetColumn.MATCH) ? ANY : row.text(SheetColumn.MATCH);
+        if (id.isPresent()) {
+            mReferences.useTarget(row, column, id.get());
+            mReferences.defineRule(row, id.get(), match);
+            String target = row.text(column);
+            kind.ifPresent(k -> mRules.add(new RequestRule(id.get(), target, match, k)));
+        }
+    }
+
+    private static RequestKind kindOf(String word) {
+        return Arrays.stream(RequestKind.values())
+                .filter(k -> k.wire().equals(word))
+                .findFirst()
+                .orElseThrow(IllegalArgumentException::new);
+    }
+
+    private static Optional<WorkspaceId> workspace(SheetRow row) {
+        return row.read(SheetColumn.WORKSPACE, WorkspaceId::of, "a workspace's name");
+    }
+
+    private static Optional<PoolId> pool(SheetRow row) {
+        return row.read(SheetColumn.POOL, PoolId::of, "a pool's name");
+    }
+
+    private Optional<PoolId> usedPool(SheetRow row) {
+        Optional<PoolId> id = pool(row);
+        id.ifPresent(p -> mReferences.usePool(row, p));
+        return id;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/config/SheetColumn.java
@@ -0,0 +1,33 @@
+package org.catkinproxy.config;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/** The columns of a sheet, in the order in which they are written. Immutable. */
+enum SheetColumn {
+    KIND,
+    WORKSPACE,
+    MODEL,
+    ADAPTER,
+    VERSION,
+    POOL,
+    INSTANCE,
+    SERVICE,
+    MATCH,
+    VALUE;
+
+    /** Returns the name that stands in the sheet's first row. */
+    String heading() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns the column under a heading, if there is one. */
+    static Optional<SheetColumn> ofHeading(String heading) {
+        for (SheetColumn column : values()) {
+            if (column.heading().equals(heading)) {
+                return Optional.of(column);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/config/SheetReader.java
@@ -0,0 +1,94 @@
+package org.catkinproxy.config;
+
+import com.fasterxml.jackson.databind.MappingIterator;
+import com.fasterxml.jackson.dataformat.csv.CsvMapper;
+import com.fasterxml.jackson.dataformat.csv.CsvParser;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Splits a sheet into rows by its header; columns may come in any order.
+ *
+ * <p>Used by one thread while a sheet is read.
+ */
+final class SheetReader {
+    private static final CsvMapper MAPPER =
+            CsvMapper.builder().enable(CsvParser.Feature.WRAP_AS_ARRAY).build();
+
+    private final List<SheetError> mErrors;
+
+    SheetReader(List<SheetError> errors) {
+        mErrors = errors;
+    }
+
+    /** Returns the rows below the header; none if the header has a fault. */
+    List<SheetRow> read(String csv) {
+        List<String[]> lines = split(csv);
+        if (lines.isEmpty()) {
+            mErrors.add(SheetError.of(1, SheetColumn.KIND, "", "a header with all columns"));
+            return List.of();
+        }
+        Optional<List<SheetColumn>> header = header(lines.get(0));
+        List<SheetRow> rows = new ArrayList<>();
+        for (int i = 1; i < lines.size() && header.isPresent(); i++) {
+            if (!isBlank(lines.get(i))) {
+                rows.add(row(i + 1, header.get(), lines.get(i)));
+            }
+        }
+        return rows;
+    }
+
+    private List<String[]> split(String csv) {
+        try (MappingIterator<String[]> lines = MAPPER.readerFor(String[].class).readValues(csv)) {
+            return lines.readAll();
+        } catch (IOException e) {
+            mErrors.add(SheetError.of(1, SheetColumn.KIND, "", "text in CSV: " + e.getMessage()));
+            return List.of();
+        }
+    }
+
+    private Optional<List<SheetColumn>> header(String[] headings) {
+        int before = mErrors.size();
+        List<SheetColumn> columns = new ArrayList<>();
+        for (String heading : headings) {
+            Optional<SheetColumn> column = SheetColumn.ofHeading(heading.trim());
+            if (column.isEmpty() || columns.contains(column.get())) {
+                mErrors.add(new SheetError(1, heading, heading, "each column's name once"));
+            } else {
+                columns.add(column.get());
+            }
+        }
+        for (SheetColumn column : SheetColumn.values()) {
+            if (!columns.contains(column)) {
+                mErrors.add(SheetError.of(1, column, "", "this column in the header"));
+            }
+        }
+        return mErrors.size() == before ? Optional.of(columns) : Optional.empty();
+    }
+
+    private SheetRow row(int number, List<SheetColumn> header, String[] cells) {
+        Map<SheetColumn, String> byColumn = new EnumMap<>(SheetColumn.class);
+        for (int i = 0; i < Math.min(cells.length, header.size()); i++) {
+            byColumn.put(header.get(i), cells[i].trim());
+        }
+        SheetRow row = new SheetRow(number, byColumn, mErrors);
+        if (cells.length > header.size()) {
+            row.reject(SheetColumn.VALUE, "no more cells than the header has");
+        }
+        return row;
+    }
+
+    private static boolean isBlank(String[] cells) {
+        for (String cell : cells) {
+            if (!cell.isBlank()) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/config/SheetResult.java
@@ -0,0 +1,56 @@
+package org.catkinproxy.config;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.error.Step;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/**
+ * What reading a sheet gave: a configuration, or every error of the sheet.
+ *
+ * <p>Immutable, and so safe for use by any thread.
+ */
+public final class SheetResult {
+    private final Configuration mConfiguration;
+    private final List<SheetError> mErrors;
+
+    private SheetResult(Configuration configuration, List<SheetError> errors) {
+        mConfiguration = checkNotNull(configuration, "configuration");
+        mErrors = List.copyOf(errors);
+    }
+
+    static SheetResult of(Configuration configuration, List<SheetError> errors) {
+        return new SheetResult(configuration, errors);
+    }
+
+    /** Tells whether the sheet has no error. */
+    public boolean isValid() {
+        return mErrors.isEmpty();
+    }
+
+    /** Returns all errors in the order of their rows; empty if the sheet is valid. */
+    public List<SheetError> errors() {
+        return mErrors;
+    }
+
+    /**
+     * Returns the configuration, under {@link org.catkinproxy.id.Revision#NONE}.
+     *
+     * @throws CatkinException with code {@code INVALID_SHEET} if the sheet has errors
+     */
+    public Configuration configuration() {
+        if (!isValid()) {
+            throw CatkinException.notRun(
+                    ErrorCode.INVALID_SHEET, Step.PARSE, CatkinException.NO_PEER, describe());
+        }
+        return mConfiguration;
+    }
+
+    private String describe() {
+        return mErrors.stream().map(SheetError::toString).collect(Collectors.joining("; "));
+    }
+}
