--- a/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
+++ b/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
@@ -19,7 +19,12 @@
     STREAM_BROKEN(203, Level.ERROR, "request {} could not be continued after token {}: {}"),
     // 300: calls that may not be repeated
     // 400: configuration
+    SHEET_ACCEPTED(401, Level.INFO, "revision {} accepted for operator {}"),
+    REVISION_IN_FORCE(402, Level.INFO, "revision {} of operator {} is in force"),
+    REVISION_NOT_LOADED(403, Level.WARN, "revision {} could not be loaded from {}: {}"),
+    CONFIGURATION_NOT_FRESH(404, Level.WARN, "revision {} may be out of date: no new requests"),
     // 500: peers and membership
+    PEER_FAILED(501, Level.DEBUG, "instance {} did not answer: {}"),
     // 600: orders and leases
     // 700: platform
     STORE_FAILED(701, Level.WARN, "store did not answer {}: {}"),
