Compute burn rates from mergeable figures

Each daemon counts for itself, so the report has to be computable from sums. Times to the first token are HdrHistograms whose buckets add up; the objectives are applied when the report is made, so a changed objective counts at once. A property compares the report merged over three daemons with the one over all requests together: equal in 200 tries.

--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/burn/BurnReportTest.java
@@ -0,0 +1,183 @@
+package org.catkinproxy.burn;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+
+import org.catkinproxy.config.Objectives;
+import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.id.Revision;
+import org.catkinproxy.id.WorkspaceId;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+class BurnReportTest {
+    private static final WorkspaceId DEPOT = WorkspaceId.of("depot");
+    private static final Objectives OBJECTIVES = new Objectives(100, 0.9, 0.99, 0.5);
+
+    /** A finished request; {@code firstTokenMillis} below zero means that it failed. */
+    private record Request(
+            int daemon, String workspace, String engine, long firstTokenMillis, long cached) {}
+
+    @Example
+    void burnIsBadShareOverBudget() {
+        BurnCounter counter = new BurnCounter();
+        for (int i = 0; i < 98; i++) {
+            counter.addAnswered(i < 20 ? 500 : 50, 1_000, 750);
+        }
+        counter.addFailed();
+        counter.addFailed();
+        BurnReport report = BurnReport.of(List.of(snapshot(counter.figures(), "slow")));
+        WorkspaceBurn firstToken = row(report, BurnObjective.FIRST_TOKEN);
+        assertThat(firstToken.longBurn()).isWithin(1e-9).of(20.0 / 98 / 0.1);
+        assertThat(firstToken.budgetLeft()).isEqualTo(0.0);
+        assertThat(firstToken.worstEngine()).isEqualTo("slow");
+        assertThat(row(report, BurnObjective.AVAILABILITY).shortBurn()).isWithin(1e-9).of(2);
+        WorkspaceBurn hitRate = row(report, BurnObjective.HIT_RATE);
+        assertThat(hitRate.longBurn()).isWithin(1e-9).of(0.5);
+        assertThat(hitRate.budgetLeft()).isWithin(1e-9).of(0.5);
+    }
+
+    @Example
+    void namesTheEngineThatBurns() {
+        BurnCounter good = new BurnCounter();
+        BurnCounter bad = new BurnCounter();
+        for (int i = 0; i < 10; i++) {
+            good.addAnswered(50, 100, 100);
+            bad.addAnswered(i < 9 ? 900 : 50, 100, 100);
+        }
+        BurnReport report =
+                BurnReport.of(
+                        List.of(
+                                snapshot(good.figures(), "engine-1"),
+                                snapshot(bad.figures(), "engine-2")));
+        assertThat(row(report, BurnObjective.FIRST_TOKEN).worstEngine()).isEqualTo("engine-2");
+        assertThat(row(report, BurnObjective.FIRST_TOKEN).worstEngineShare()).isEqualTo(1.0);
+        assertThat(row(report, BurnObjective.AVAILABILITY).worstEngine())
+                .isEqualTo(WorkspaceBurn.NOTHING_BAD);
+    }
+
+    @Example
+    void newerObjectivesCount() {
+        BurnCounter counter = new BurnCounter();
+        counter.addFailed();
+        counter.addAnswered(1, 1, 1);
+        BurnSnapshot older = snapshot(counter.figures(), "engine-1");
+        BurnSnapshot newer =
+                new BurnSnapshot(
+                        InstanceId.of("entry-2"),
+                        Revision.of(2),
+                        Map.of(DEPOT, new Objectives(100, 0.9, 0.5, 0.5)),
+                        List.of());
+        BurnReport report = BurnReport.of(List.of(newer, older));
+        assertThat(row(report, BurnObjective.AVAILABILITY).longBurn()).isWithin(1e-9).of(1);
+    }
+
+    @Property(seed = "1", tries = 200)
+    void mergedEqualsUnion(@ForAll("requests") List<Request> requests) {
+        List<BurnSnapshot> daemons = new ArrayList<>();
+        for (int daemon = 0; daemon < 3; daemon++) {
+            int own = daemon;
+            daemons.add(count(requests.stream().filter(r -> r.daemon() == own).toList()));
+        }
+        BurnReport merged = BurnReport.of(daemons);
+        BurnReport union = BurnReport.of(List.of(count(requests)));
+        assertThat(merged.rows()).isEqualTo(union.rows());
+        assertThat(merged.longFigures(DEPOT)).isEqualTo(union.longFigures(DEPOT));
+    }
+
+    @Property(seed = "1", tries = 100)
+    void countsAsNaiveSumsDo(@ForAll("requests") List<Request> requests) {
+        BurnReport report = BurnReport.of(List.of(count(requests)));
+        List<Request> own = requests.stream().filter(r -> r.workspace().equals("depot")).toList();
+        long failed = own.stream().filter(r -> r.firstTokenMillis() < 0).count();
+        assertThat(report.longFigures(DEPOT).failed()).isEqualTo(failed);
+        assertThat(report.longFigures(DEPOT).answered()).isEqualTo(own.size() - failed);
+        long cached =
+                own.stream()
+                        .filter(r -> r.firstTokenMillis() >= 0)
+                        .mapToLong(Request::cached)
+                        .sum();
+        assertThat(report.longFigures(DEPOT).cachedTokens()).isEqualTo(cached);
+    }
+
+    @Property(seed = "1", tries = 100)
+    void encodedHistogramIsReadBackWhole(@ForAll("requests") List<Request> requests) {
+        for (BurnCell cell : count(requests).cells()) {
+            BurnFigures figures = cell.longWindow();
+            BurnFigures read =
+                    BurnFigures.of(
+                            figures.answered(),
+                            figures.failed(),
+                            figures.promptTokens(),
+                            figures.cachedTokens(),
+                            figures.encodedFirstTokens());
+            assertThat(read).isEqualTo(figures);
+        }
+    }
+
+    @Provide
+    Arbitrary<List<Request>> requests() {
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, 2),
+                        Arbitraries.of("depot", "portal"),
+                        Arbitraries.of("engine-1", "engine-2", BurnCell.NO_ENGINE),
+                        Arbitraries.longs().between(-1, 700_000),
+                        Arbitraries.longs().between(0, 1_000))
+                .as(Request::new)
+                .list()
+                .ofMaxSize(60);
+    }
+
+    private static BurnSnapshot count(List<Request> requests) {
+        Map<List<String>, BurnCounter> counters = new TreeMap<>((a, b) -> compare(a, b));
+        for (Request r : requests) {
+            BurnCounter counter =
+                    counters.computeIfAbsent(
+                            List.of(r.workspace(), r.engine()), k -> new BurnCounter());
+            if (r.firstTokenMillis() < 0) {
+                counter.addFailed();
+            } else {
+                counter.addAnswered(r.firstTokenMillis(), 1_000, r.cached());
+            }
+        }
+        List<BurnCell> cells = new ArrayList<>();
+        counters.forEach(
+                (key, c) ->
+                        cells.add(
+                                new BurnCell(
+                                        WorkspaceId.of(key.get(0)),
+                                        key.get(1),
+                                        c.figures(),
+                                        c.figures())));
+        return new BurnSnapshot(InstanceId.of("entry-1"), Revision.of(1), Map.of(), cells);
+    }
+
+    private static int compare(List<String> a, List<String> b) {
+        return String.join("/", a).compareTo(String.join("/", b));
+    }
+
+    private static BurnSnapshot snapshot(BurnFigures figures, String engine) {
+        return new BurnSnapshot(
+                InstanceId.of("entry-1"),
+                Revision.of(1),
+                Map.of(DEPOT, OBJECTIVES),
+                List.of(new BurnCell(DEPOT, engine, figures, figures)));
+    }
+
+    private static WorkspaceBurn row(BurnReport report, BurnObjective objective) {
+        return report.rows().stream()
+                .filter(r -> r.objective() == objective)
+                .findFirst()
+                .orElseThrow();
+    }
+}
