--- a/daemon/src/main/java/org/catkinproxy/caller/CompletionHandler.java
+++ b/daemon/src/main/java/org/catkinproxy/caller/CompletionHandler.java
@@ -24,7 +24,6 @@
 import io.jooby.Context;
 import io.jooby.MediaType;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
@@ -38,7 +37,6 @@
  * thread.
  */
 final class CompletionHandler {
-    private static final String DEADLINE_HEADER = "Catkin-Deadline-Ms";
     private static final String RESUME_HEADER = "Last-Event-ID";
 
     private final Gate mGate;
@@ -46,6 +44,7 @@
     private final ResumeTokenCodec mTokens;
     private final CallerLimits mLimits;
     private final RateLimiter mRates;
+    private final ActiveRequests mActive;
     private final LongSupplier mClock;
 
     CompletionHandler(
@@ -54,17 +53,30 @@
             ResumeTokenCodec tokens,
             CallerLimits limits,
             RateLimiter rates,
+            ActiveRequests active,
             LongSupplier clock) {
         mGate = gate;
         mRelay = relay;
         mTokens = tokens;
         mLimits = limits;
         mRates = rates;
+        mActive = active;
         mClock = clock;
     }
 
     /** Takes one request; the answer follows on the context. */
     Object handle(Context ctx, CompletionShape shape) {
+        mActive.enter();
+        try {
+            take(ctx, shape);
+        } finally {
+            // From here on the relay counts the request.
+            mActive.leave();
+        }
+        return ctx;
+    }
+
+    private void take(Context ctx, CompletionShape shape) {
         Configuration configuration = mGate.configuration();
         Workspace workspace = Authenticator.workspaceOf(ctx, configuration);
         checkContentType(ctx);
@@ -78,7 +90,6 @@
         checkAdmission(workspace, resume);
         Answering answering = answering(workspace, assignment, completion, body, resume);
         start(ctx, answering, relayRequest(ctx, configuration, assignment, answering));
-        return ctx;
     }
 
     private void start(Context ctx, Answering answering, RelayRequest request) {
@@ -134,7 +145,7 @@
                         priority,
                         answering.blocks(),
                         completion.maxTokens(),
-                        mClock.getAsLong() + deadline(ctx).toNanos());
+                        mClock.getAsLong() + DeadlineHeader.read(ctx, mLimits).toNanos());
         GenerateRequest generate =
                 new GenerateRequest(
                         answering.request(),
@@ -174,20 +185,6 @@
         }
     }
 
-    private Duration deadline(Context ctx) {
-        String text = ctx.header(DEADLINE_HEADER).value("");
-        if (text.isEmpty()) {
-            return mLimits.defaultDeadline();
-        }
-        try {
-            long millis = Long.parseLong(text);
-            long most = mLimits.maxDeadline().toMillis();
-            return Duration.ofMillis(Math.max(1, Math.min(millis, most)));
-        } catch (NumberFormatException e) {
-            throw refusal(ErrorCode.MALFORMED_BODY);
-        }
-    }
-
     private static void checkContentType(Context ctx) {
         MediaType type = ctx.getRequestType();
         if (type == null || !type.matches(MediaType.json)) {
--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/caller/ServiceHandler.java
@@ -0,0 +1,159 @@
+package org.catkinproxy.caller;
+
+import org.catkinproxy.calls.CallResult;
+import org.catkinproxy.calls.CallRunner;
+import org.catkinproxy.calls.ServiceAnswer;
+import org.catkinproxy.calls.ServiceCall;
+import org.catkinproxy.config.Configuration;
+import org.catkinproxy.config.RequestKind;
+import org.catkinproxy.config.ServiceRoute;
+import org.catkinproxy.config.Workspace;
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.error.Step;
+import org.catkinproxy.http.HttpListener;
+import org.catkinproxy.id.IdempotencyKey;
+
+import io.jooby.Context;
+import io.jooby.StatusCode;
+import io.reactivex.rxjava3.disposables.Disposable;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Takes calls of plain services: checks them, and hands them to the call runner.
+ *
+ * <p>Whatever is thrown here is a refusal of a call of which no byte was sent. Safe for use by any
+ * thread.
+ */
+final class ServiceHandler {
+    private static final String KEY_HEADER = "Idempotency-Key";
+    private static final String PREFIX = "/services/";
+
+    private final Gate mGate;
+    private final CallRunner mRunner;
+    private final ServiceDirectory mDirectory;
+    private final CallerLimits mLimits;
+    private final RateLimiter mRates;
+    private final ActiveRequests mActive;
+
+    ServiceHandler(
+            Gate gate,
+            CallRunner runner,
+            ServiceDirectory directory,
+            CallerLimits limits,
+            RateLimiter rates,
+            ActiveRequests active) {
+        mGate = gate;
+        mRunner = runner;
+        mDirectory = directory;
+        mLimits = limits;
+        mRates = rates;
+        mActive = active;
+    }
+
+    /** Takes one call; the answer follows on the context. */
+    Object handle(Context ctx) {
+        mActive.enter();
+        try {
+            ServiceCall call = call(ctx);
+            Disposable unused =
+                    mRunner.run(call)
+                            .doFinally(mActive::leave)
+                            .subscribe(
+                                    result -> answer(ctx, result),
+                                    e -> HttpListener.fail(ctx, HttpListener.toError(e)));
+        } catch (RuntimeException e) {
+            mActive.leave();
+            throw e;
+        }
+        return ctx;
+    }
+
+    private ServiceCall call(Context ctx) {
+        Configuration configuration = mGate.configuration();
+        Workspace workspace = Authenticator.workspaceOf(ctx, configuration);
+        checkAdmission(workspace);
+        String name = ctx.path("service").value();
+        ServiceRoute route =
+                configuration
+                        .service(workspace.id(), name)
+                        .orElseThrow(() -> refusal(ErrorCode.UNKNOWN_SERVICE));
+        String path = ctx.getRequestPath().substring((PREFIX + name).length());
+        path = path.isEmpty() ? "/" : path;
+        RequestKind kind =
+                configuration.kindOfServiceCall(workspace.id(), name, ctx.getMethod() + " " + path);
+        return new ServiceCall(
+                workspace.id(),
+                route.service(),
+                ctx.getMethod(),
+                path + ctx.queryString(),
+                ctx.header("Content-Type").value(""),
+                ctx.body().bytes(),
+                key(ctx),
+                kind,
+                mDirectory.instances(route.pool()),
+                timeout(ctx),
+                ctx.header(CallResult.RECEIPT_HEADER).toOptional(),
+                ownsKeys(configuration, route));
+    }
+
+    private void checkAdmission(Workspace workspace) {
+        if (!mGate.isOpen()) {
+            throw refusal(ErrorCode.STOPPING);
+        }
+        if (!mGate.isFresh()) {
+            throw refusal(ErrorCode.NOT_CONFIGURED);
+        }
+        if (!mRates.tryAcquire(workspace.id())) {
+            throw refusal(ErrorCode.RATE_LIMITED);
+        }
+    }
+
+    private static Optional<IdempotencyKey> key(Context ctx) {
+        try {
+            return ctx.header(KEY_HEADER).toOptional().map(IdempotencyKey::of);
+        } catch (IllegalArgumentException e) {
+            throw CatkinException.notRun(
+                    ErrorCode.MISSING_IDEMPOTENCY_KEY,
+                    Step.PARSE,
+                    CatkinException.NO_PEER,
+                    e.getMessage());
+        }
+    }
+
+    /** Tells whether no other workspace calls the same instances. */
+    private static boolean ownsKeys(Configuration configuration, ServiceRoute route) {
+        return configuration.services().stream()
+                .filter(s -> s.pool().equals(route.pool()))
+                .allMatch(s -> s.workspace().equals(route.workspace()));
+    }
+
+    private Duration timeout(Context ctx) {
+        return DeadlineHeader.read(ctx, mLimits);
+    }
+
+    private static void answer(Context ctx, CallResult result) {
+        if (result instanceof CallResult.Answered answered) {
+            send(ctx, answered.answer());
+        } else if (result instanceof CallResult.Refused refused) {
+            refused.receipt().ifPresent(r -> ctx.setResponseHeader(CallResult.RECEIPT_HEADER, r));
+            HttpListener.fail(ctx, refused.error());
+        }
+    }
+
+    private static void send(Context ctx, ServiceAnswer answer) {
+        ctx.setResponseCode(StatusCode.valueOf(answer.status()));
+        if (!answer.contentType().isEmpty()) {
+            ctx.setResponseHeader("Content-Type", answer.contentType());
+        }
+        ctx.setResponseHeader("Catkin-Attempt", answer.attempt().value());
+        ctx.setResponseHeader("Catkin-Replayed", Boolean.toString(answer.replayed()));
+        ctx.send(answer.body());
+    }
+
+    private static CatkinException refusal(ErrorCode code) {
+        return CatkinException.notRun(code, Step.ADMIT, CatkinException.NO_PEER, code.meaning());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/daemon/DaemonMain.java
@@ -0,0 +1,64 @@
+package org.catkinproxy.daemon;
+
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.settings.Settings;
+import org.catkinproxy.settings.SettingsFile;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+
+import java.io.PrintStream;
+
+/** Starts the daemon from the command line. Stateless. */
+public final class DaemonMain {
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_USAGE = 2;
+    private static final int EXIT_SETTINGS = 3;
+    private static final String VERSION = "catkinproxyd 0.1.0";
+
+    private DaemonMain() {}
+
+    /** Runs the daemon until it is told to stop; see {@code --help}. */
+    public static void main(String[] args) {
+        DaemonOptions options = new DaemonOptions();
+        CmdLineParser parser = new CmdLineParser(options);
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException e) {
+            System.err.println(e.getMessage());
+            usage(parser, System.err);
+            System.exit(EXIT_USAGE);
+        }
+        if (options.isHelp()) {
+            usage(parser, System.out);
+            System.exit(EXIT_OK);
+        }
+        if (options.isVersion()) {
+            System.out.println(VERSION);
+            System.exit(EXIT_OK);
+        }
+        if (options.settings() == null) {
+            System.err.println("--settings is missing");
+            usage(parser, System.err);
+            System.exit(EXIT_USAGE);
+        }
+        run(options);
+    }
+
+    private static void run(DaemonOptions options) {
+        Settings settings = null;
+        try {
+            settings = SettingsFile.load(options.settings());
+        } catch (CatkinException e) {
+            System.err.println(e.getMessage());
+            System.exit(EXIT_SETTINGS);
+        }
+        Daemon daemon = Daemon.start(settings);
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
+    }
+
+    private static void usage(CmdLineParser parser, PrintStream out) {
+        out.println("usage: catkinproxyd --settings FILE");
+        parser.printUsage(out);
+        out.println("exit codes: 0 stopped, 2 usage, 3 settings");
+    }
+}
