--- a/daemon/src/main/java/org/catkinproxy/caller/CallerApi.java
+++ b/daemon/src/main/java/org/catkinproxy/caller/CallerApi.java
@@ -5,6 +5,7 @@
 import org.catkinproxy.stream.ResumeTokenCodec;
 
 import io.jooby.Jooby;
+import io.jooby.Route;
 import io.jooby.StatusCode;
 
 import java.util.List;
@@ -67,19 +68,28 @@
 
     @Override
     public void accept(Jooby application) {
-        application.post(
-                "/v1/chat/completions", ctx -> mCompletions.handle(ctx, CompletionShape.CHAT));
-        application.post("/v1/completions", ctx -> mCompletions.handle(ctx, CompletionShape.TEXT));
+        answersLater(
+                application.post(
+                        "/v1/chat/completions",
+                        ctx -> mCompletions.handle(ctx, CompletionShape.CHAT)));
+        answersLater(
+                application.post(
+                        "/v1/completions", ctx -> mCompletions.handle(ctx, CompletionShape.TEXT)));
         application.get("/v1/models", mModels::handle);
         application.get("/v1/entries", mEntries::handle);
         for (String method : METHODS) {
-            application.route(method, "/services/{service}/*", mServices::handle);
-            application.route(method, "/services/{service}", mServices::handle);
+            answersLater(application.route(method, "/services/{service}/*", mServices::handle));
+            answersLater(application.route(method, "/services/{service}", mServices::handle));
         }
         application.get("/health", ctx -> ctx.send(StatusCode.OK));
         application.get("/ready", ctx -> ctx.send(isReady() ? StatusCode.OK : UNAVAILABLE));
     }
 
+    /** Keeps Jooby from answering by itself when the handler returns. */
+    private static void answersLater(Route route) {
+        route.setNonBlocking(true);
+    }
+
     private boolean isReady() {
         return mGate.isOpen() && mGate.isFresh();
     }
--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -122,6 +122,11 @@
         return mCallers.port();
     }
 
+    /** Returns the dispatch task. */
+    public DispatchTask dispatch() {
+        return mDispatch;
+    }
+
     /** Returns the configuration task. */
     public ConfigTask configuration() {
         return mConfig;
--- a/daemon/src/main/java/org/catkinproxy/http/HttpListener.java
+++ b/daemon/src/main/java/org/catkinproxy/http/HttpListener.java
@@ -6,6 +6,7 @@
 import org.catkinproxy.error.Step;
 
 import io.jooby.Context;
+import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
 import io.jooby.MediaType;
 import io.jooby.ServerOptions;
@@ -56,9 +57,11 @@
         BoundedNettyServer server = new BoundedNettyServer(options, limits, tls);
         Jooby application = new Jooby();
         application.setServerOptions(options);
+        // Handlers parse and hash whole prompts, which is no work for an event loop.
+        application.setExecutionMode(ExecutionMode.WORKER);
         application.error((ctx, cause, status) -> fail(ctx, toError(cause, status)));
         routes.accept(application);
-        application.start(server);
+        server.start(application);
         return new HttpListener(server);
     }
 
