--- a/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
+++ b/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
@@ -17,9 +17,22 @@
     REQUEST_REFUSED(201, Level.INFO, "request {} refused: {}"),
     STREAM_CONTINUED(202, Level.WARN, "request {} continues after token {} on engine {}: {}"),
     STREAM_BROKEN(203, Level.ERROR, "request {} could not be continued after token {}: {}"),
+    ENGINE_LOST(204, Level.WARN, "engine {} does not answer; it gets no new work"),
+    ENGINE_BACK(205, Level.INFO, "engine {} answers again"),
     // 300: calls that may not be repeated
+    CALL_READ_FAILED(301, Level.WARN, "call {} could not be read: {}"),
+    CALL_WRITE_FAILED(302, Level.WARN, "call {} may not have been written: {}"),
+    CALL_UNKNOWN(303, Level.WARN, "call {} attempt {} answered with outcome unknown: {}"),
+    CALL_CONTRADICTED(304, Level.ERROR, "call {} ran, though operator {} settled it as not run"),
+    CALL_RESOLVED(305, Level.INFO, "call {} settled by operator {}: ran={}, {}"),
+    CALL_RECORDED(306, Level.INFO, "call {} recorded from the service's own account"),
     // 400: configuration
+    SHEET_ACCEPTED(401, Level.INFO, "revision {} accepted for operator {}"),
+    REVISION_IN_FORCE(402, Level.INFO, "revision {} of operator {} is in force"),
+    REVISION_NOT_LOADED(403, Level.WARN, "revision {} could not be loaded from {}: {}"),
+    CONFIGURATION_NOT_FRESH(404, Level.WARN, "revision {} may be out of date: no new requests"),
     // 500: peers and membership
+    PEER_FAILED(501, Level.DEBUG, "instance {} did not answer: {}"),
     // 600: orders and leases
     // 700: platform
     STORE_FAILED(701, Level.WARN, "store did not answer {}: {}"),
