--- /dev/null
+++ b/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
@@ -0,0 +1,50 @@
+package org.catkinproxy.chaos;
+
+import org.catkinproxy.demo.Cluster;
+import org.catkinproxy.demo.Member;
+import org.catkinproxy.demo.Web;
+
+import okhttp3.Request;
+
+import java.io.IOException;
+import java.time.Duration;
+
+/** Lists an engine as leaving and counts its new work. Stateless; safe for use by any thread. */
+final class LeavingEngine {
+    private static final Duration LIMIT = Duration.ofSeconds(5);
+    private static final Duration WATCHED = Duration.ofSeconds(4);
+
+    private LeavingEngine() {}
+
+    static void run(Scene scene, Member engine) {
+        if (!scene.hold(engine)) {
+            scene.ledger().note("skipped: " + engine.id() + " is disturbed already");
+            return;
+        }
+        long start = System.nanoTime();
+        try {
+            scene.cluster().list(engine, "leaving");
+            Cluster.sleep(LIMIT);
+            long before = generations(engine);
+            Cluster.sleep(WATCHED);
+            long after = generations(engine);
+            if (scene.isUndisturbedSince(scene.cluster().platform(), start)) {
+                String evidence = engine.id() + " took " + (after - before) + " new requests";
+                scene.ledger().check(Promise.LEAVING_NO_NEW_WORK, after == before, evidence);
+            }
+        } catch (IOException e) {
+            scene.ledger().note(engine.id() + " did not tell its work: " + e.getMessage());
+        } finally {
+            engine.process().kill();
+            scene.cluster().list(engine, "live");
+            engine.process().start();
+            scene.release(engine);
+        }
+    }
+
+    private static long generations(Member engine) throws IOException {
+        Request request = new Request.Builder().url(engine.url() + "/admin/log").build();
+        Web.Answer answer = Web.send(Web.bounded(Duration.ofSeconds(2)), request);
+        return answer.json().path("generations").asLong();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/catkinproxy/load/package-info.java
@@ -0,0 +1,2 @@
+/** Sends load through real processes and measures what callers see. */
+package org.catkinproxy.load;
