--- a/bench/src/main/java/org/catkinproxy/load/Measures.java
+++ b/bench/src/main/java/org/catkinproxy/load/Measures.java
@@ -54,12 +54,12 @@
                 mFirstTokenMillis.getValueAtPercentile(50),
                 mFirstTokenMillis.getValueAtPercentile(95),
                 mFirstTokenMillis.getValueAtPercentile(99));
-        print("requests", Integer.toString(mRequests));
-        print("answered whole", Integer.toString(mWhole));
-        print("prompt tokens", Long.toString(mPromptTokens));
-        print("prefix hit rate, percent", share(mCachedTokens));
-        print("recomputed tokens, percent", share(mRecomputedTokens));
-        mFailures.forEach((name, count) -> print("not answered: " + name, count.toString()));
+        printValue("requests", Integer.toString(mRequests));
+        printValue("answered whole", Integer.toString(mWhole));
+        printValue("prompt tokens", Long.toString(mPromptTokens));
+        printValue("prefix hit rate, percent", share(mCachedTokens));
+        printValue("recomputed tokens, percent", share(mRecomputedTokens));
+        mFailures.forEach((name, count) -> printValue("not answered: " + name, count.toString()));
     }
 
     private String share(long tokens) {
@@ -79,7 +79,7 @@
         return bytes / BYTES_PER_BLOCK * TOKENS_PER_BLOCK;
     }
 
-    private static void print(String name, String value) {
+    private static void printValue(String name, String value) {
         System.out.printf("%-34s %10s%n", name, value);
     }
 }
