--- /dev/null
+++ b/daemon/src/test/java/org/catkinproxy/calls/FakeTables.java
@@ -0,0 +1,160 @@
+package org.catkinproxy.calls;
+
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.error.Outcome;
+import org.catkinproxy.error.Step;
+import org.catkinproxy.platform.ObjectStore;
+import org.catkinproxy.platform.RowWrite;
+import org.catkinproxy.platform.TableRow;
+import org.catkinproxy.platform.TableService;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Maybe;
+import io.reactivex.rxjava3.core.Single;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A table service and object store in memory, with faults. All state is under one lock. */
+final class FakeTables implements TableService, ObjectStore {
+    /** What happens to the next writes. */
+    enum Fault {
+        NONE,
+        /** Reads and writes fail, and nothing takes effect. */
+        DOWN,
+        /** The write takes effect and fails; reads work. */
+        ANSWER_LOST,
+        /** The write fails and takes effect when {@link #landDelayed} is called; reads work. */
+        DELAYED
+    }
+
+    private final Map<String, TreeMap<String, TableRow>> mRows = new HashMap<>();
+    private final Map<String, byte[]> mObjects = new HashMap<>();
+    private final List<List<RowWrite>> mDelayed = new ArrayList<>();
+    private Fault mFault = Fault.NONE;
+    private int mWritesToSkip;
+    private int mFaultsLeft;
+
+    /** Lets {@code skip} writes through, and shows the fault at the next {@code times}. */
+    synchronized void fault(Fault fault, int skip, int times) {
+        mFault = fault;
+        mWritesToSkip = skip;
+        mFaultsLeft = times;
+    }
+
+    synchronized void mend() {
+        mFault = Fault.NONE;
+    }
+
+    /** Lets the delayed writes arrive at last; those that come too late change nothing. */
+    synchronized void landDelayed() {
+        List.copyOf(mDelayed).forEach(this::applyLate);
+        mDelayed.clear();
+    }
+
+    synchronized int objects() {
+        return mObjects.size();
+    }
+
+    synchronized List<TableRow> rows(String table) {
+        return List.copyOf(table(table).values());
+    }
+
+    @Override
+    public Maybe<TableRow> get(String table, String key) {
+        return Maybe.defer(
+                () -> {
+                    synchronized (this) {
+                        if (mFault == Fault.DOWN) {
+                            return Maybe.error(unavailable());
+                        }
+                        TableRow row = table(table).get(key);
+                        return row == null ? Maybe.empty() : Maybe.just(row);
+                    }
+                });
+    }
+
+    @Override
+    public synchronized Maybe<byte[]> get(String name) {
+        return mObjects.containsKey(name) ? Maybe.just(mObjects.get(name)) : Maybe.empty();
+    }
+
+    @Override
+    public synchronized Single<List<TableRow>> scan(
+            String table, String prefix, String afterKey, int limit) {
+        return Single.just(
+                table(table).tailMap(afterKey, false).values().stream()
+                        .filter(r -> r.key().startsWith(prefix))
+                        .limit(limit)
+                        .toList());
+    }
+
+    @Override
+    public Single<List<Long>> transact(List<RowWrite> writes) {
+        return Single.fromCallable(() -> write(writes));
+    }
+
+    @Override
+    public synchronized Completable put(String name, byte[] content) {
+        mObjects.put(name, content);
+        return Completable.complete();
+    }
+
+    private synchronized List<Long> write(List<RowWrite> writes) {
+        if (mFault == Fault.NONE || mWritesToSkip-- > 0) {
+            return apply(writes);
+        }
+        Fault fault = mFault;
+        if (--mFaultsLeft == 0) {
+            mFault = Fault.NONE;
+        }
+        if (fault == Fault.ANSWER_LOST) {
+            apply(writes);
+        } else if (fault == Fault.DELAYED) {
+            mDelayed.add(writes);
+        }
+        throw unavailable();
+    }
+
+    private List<Long> apply(List<RowWrite> writes) {
+        for (RowWrite w : writes) {
+            TableRow row = table(w.table()).get(w.key());
+            long version = row == null ? RowWrite.ABSENT : row.version();
+            if (version != w.expectedVersion()) {
+                return conflict();
+            }
+        }
+        List<Long> versions = new ArrayList<>();
+        for (RowWrite w : writes) {
+            long version = w.expectedVersion() + 1;
+            table(w.table()).put(w.key(), new TableRow(w.key(), version, w.value()));
+            versions.add(version);
+        }
+        return versions;
+    }
+
+    private void applyLate(List<RowWrite> writes) {
+        try {
+            apply(writes);
+        } catch (CatkinException e) {
+            mDelayed.remove(writes);
+        }
+    }
+
+    private List<Long> conflict() {
+        throw CatkinException.notRun(ErrorCode.STORE_CONFLICT, Step.STORE, "fake", "conflict");
+    }
+
+    private TreeMap<String, TableRow> table(String name) {
+        return mRows.computeIfAbsent(name, n -> new TreeMap<>());
+    }
+
+    private static CatkinException unavailable() {
+        return CatkinException.of(
+                ErrorCode.STORE_UNAVAILABLE, Step.STORE, "fake", Outcome.UNKNOWN, "down", null);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/catkinproxy/service/ScriptedServer.java
@@ -0,0 +1,135 @@
+package org.catkinproxy.service;
+
+import java.io.BufferedReader;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Answers every request with the same fixed bytes, and keeps what it was sent.
+ *
+ * <p>A connection is closed after one answer unless the answer says {@code keep-alive}. A reply of
+ * {@link #SILENCE} leaves the connection open without a word. Safe for use by any thread; the
+ * requests are under one lock.
+ */
+final class ScriptedServer implements AutoCloseable {
+    static final String SILENCE = "silence";
+
+    private final ServerSocket mSocket;
+    private final String mReply;
+    private final List<String> mRequests = new ArrayList<>();
+    private final List<Socket> mConnections = new ArrayList<>();
+
+    private ScriptedServer(ServerSocket socket, String reply) {
+        mSocket = socket;
+        mReply = reply;
+    }
+
+    static ScriptedServer replying(String reply) throws IOException {
+        ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        ScriptedServer server = new ScriptedServer(socket, reply);
+        startThread(server::serve);
+        return server;
+    }
+
+    String address() {
+        return "127.0.0.1:" + mSocket.getLocalPort();
+    }
+
+    List<String> requests() {
+        synchronized (mRequests) {
+            return List.copyOf(mRequests);
+        }
+    }
+
+    int connections() {
+        synchronized (mRequests) {
+            return mConnections.size();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        mSocket.close();
+        synchronized (mRequests) {
+            for (Socket s : mConnections) {
+                s.close();
+            }
+        }
+    }
+
+    private void serve() {
+        while (!mSocket.isClosed()) {
+            try {
+                Socket connection = mSocket.accept();
+                synchronized (mRequests) {
+                    mConnections.add(connection);
+                }
+                startThread(() -> converse(connection));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    /** Answers every request of a connection, so that reuse of one would show. */
+    private void converse(Socket connection) {
+        try (connection) {
+            BufferedReader in =
+                    new BufferedReader(
+                            new InputStreamReader(
+                                    connection.getInputStream(), StandardCharsets.ISO_8859_1));
+            do {
+                String request = readRequest(in);
+                synchronized (mRequests) {
+                    mRequests.add(request);
+                }
+                if (mReply.equals(SILENCE)) {
+                    in.read();
+                }
+                connection.getOutputStream().write(mReply.getBytes(StandardCharsets.ISO_8859_1));
+            } while (mReply.contains("keep-alive"));
+        } catch (IOException e) {
+            // The client closed the connection, which is its right after an answer.
+            return;
+        }
+    }
+
+    private static void startThread(Runnable work) {
+        Thread thread = new Thread(work, "scripted-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static String readRequest(BufferedReader in) throws IOException {
+        StringBuilder request = new StringBuilder();
+        int length = 0;
+        for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
+            request.append(line).append('\n');
+            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+                length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+            }
+        }
+        char[] body = new char[length];
+        int read = 0;
+        while (read < length) {
+            read += in.read(body, read, length - read);
+        }
+        return request.append('\n').append(body).toString();
+    }
+
+    private static String readLine(BufferedReader in) throws IOException {
+        String line = in.readLine();
+        if (line == null) {
+            throw new EOFException("the client closed the connection");
+        }
+        return line;
+    }
+}
