--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/stream/ResumeTokenCodecTest.java
@@ -0,0 +1,76 @@
+package org.catkinproxy.stream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.id.EngineId;
+import org.catkinproxy.id.Incarnation;
+import org.catkinproxy.id.RequestId;
+import org.catkinproxy.id.Weights;
+import org.catkinproxy.id.WorkspaceId;
+
+class ResumeTokenCodecTest {
+    private static final ResumeTokenCodec CODEC = ResumeTokenCodec.create(new byte[32]);
+    private static final ResumeToken TOKEN =
+            new ResumeToken(
+                    WorkspaceId.of("large"),
+                    RequestId.of("request"),
+                    EngineId.of("engine-1"),
+                    Incarnation.of("start-1"),
+                    Weights.of("review", "base", "v1"),
+                    "digest",
+                    17);
+
+    @Example
+    void readsWhatItWrote() {
+        assertThat(CODEC.read(CODEC.write(TOKEN))).isEqualTo(TOKEN);
+    }
+
+    @Example
+    void refusesTokenSignedWithAnotherSecret() {
+        byte[] other = new byte[32];
+        other[0] = 1;
+        String foreign = ResumeTokenCodec.create(other).write(TOKEN);
+        expectRefusal(foreign);
+    }
+
+    @Property(seed = "20261204", tries = 2_000)
+    void refusesWhateverItDidNotWrite(@ForAll String text) {
+        expectRefusal(text);
+    }
+
+    @Property(seed = "20261204", tries = 500)
+    void refusesChangedToken(@ForAll int position, @ForAll char replacement) {
+        StringBuilder text = new StringBuilder(CODEC.write(TOKEN));
+        int at = Math.floorMod(position, text.length());
+        if (text.charAt(at) == replacement) {
+            return;
+        }
+        text.setCharAt(at, replacement);
+        expectRefusalOrSameToken(text.toString());
+    }
+
+    private static void expectRefusal(String text) {
+        try {
+            CODEC.read(text);
+        } catch (CatkinException e) {
+            assertThat(e.code()).isEqualTo(ErrorCode.INVALID_RESUME_TOKEN);
+            return;
+        }
+        throw new AssertionError("was read: " + text);
+    }
+
+    /** The last digits of a Base64 text may hold unused bits, so another text can mean the same. */
+    private static void expectRefusalOrSameToken(String text) {
+        try {
+            assertThat(CODEC.read(text)).isEqualTo(TOKEN);
+        } catch (CatkinException e) {
+            assertThat(e.code()).isEqualTo(ErrorCode.INVALID_RESUME_TOKEN);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/stream/StreamMachineTest.java
@@ -0,0 +1,212 @@
+package org.catkinproxy.stream;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.error.Outcome;
+import org.catkinproxy.id.EngineId;
+import org.catkinproxy.id.Incarnation;
+import org.catkinproxy.id.RequestId;
+import org.catkinproxy.id.Weights;
+import org.catkinproxy.stream.StreamAction.Complete;
+import org.catkinproxy.stream.StreamAction.Deliver;
+import org.catkinproxy.stream.StreamAction.Fail;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+
+/** The real machine against the plain statement of what a caller may be given. */
+class StreamMachineTest {
+    private static final RequestId REQUEST = RequestId.of("request");
+    private static final Weights WEIGHTS = Weights.of("review", "base", "v1");
+    private static final Incarnation INCARNATION = Incarnation.of("start-1");
+    private static final int ENGINES = 6;
+    private static final int PROMPT_TOKENS = 100;
+
+    @Property(seed = "20261204", tries = 5_000)
+    void everyStreamIsWholeAndInOrderOrFails(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 0, max = 24) int length,
+            @ForAll @IntRange(min = 0, max = 40) int faultPercent) {
+        StreamMachine machine = StreamMachine.create(REQUEST, WEIGHTS, PROMPT_TOKENS);
+        Outcomes seen = run(seed, length, faultPercent, machine.start(), machine::handle);
+        assertThat(violation(seen, length)).isEmpty();
+    }
+
+    @Property(seed = "20261204", tries = 500)
+    void withoutFaultsEveryStreamCompletes(
+            @ForAll long seed, @ForAll @IntRange(min = 0, max = 24) int length) {
+        StreamMachine machine = StreamMachine.create(REQUEST, WEIGHTS, PROMPT_TOKENS);
+        Outcomes seen = run(seed, length, 0, machine.start(), machine::handle);
+        assertThat(seen.mCompletes).isEqualTo(1);
+    }
+
+    /** Shows that the check above can fail: a relay that trusts its engine breaks the rules. */
+    @Example
+    void relayThatTrustsItsEngineIsCaught() {
+        long caught =
+                IntStream.range(0, 200)
+                        .filter(
+                                seed -> {
+                                    TrustingRelay relay = new TrustingRelay();
+                                    Outcomes seen = run(seed, 12, 20, relay.start(), relay::handle);
+                                    return !violation(seen, 12).isEmpty();
+                                })
+                        .count();
+        assertThat(caught).isGreaterThan(0L);
+    }
+
+    @Example
+    void refusalBeforeAnyEngineSaysNotRun() {
+        StreamMachine machine = StreamMachine.create(REQUEST, WEIGHTS, PROMPT_TOKENS);
+        machine.start();
+        machine.handle(new StreamEvent.Routed(EngineId.of("engine-0")));
+        machine.handle(new StreamEvent.Failed(1, ConnectionFailure.NOT_CONNECTED));
+        List<StreamAction> last = machine.handle(new StreamEvent.RouteRefused(ErrorCode.NO_ENGINE));
+        assertThat(((Fail) last.get(0)).error().outcome()).isEqualTo(Outcome.NOT_RUN);
+    }
+
+    @Example
+    void refusalAfterBrokenConnectionDoesNotSayNotRun() {
+        StreamMachine machine = StreamMachine.create(REQUEST, WEIGHTS, PROMPT_TOKENS);
+        machine.start();
+        machine.handle(new StreamEvent.Routed(EngineId.of("engine-0")));
+        machine.handle(new StreamEvent.Failed(1, ConnectionFailure.BROKEN));
+        machine.handle(new StreamEvent.Failed(2, ConnectionFailure.NOT_FOUND));
+        List<StreamAction> last = machine.handle(new StreamEvent.RouteRefused(ErrorCode.NO_ENGINE));
+        assertThat(((Fail) last.get(0)).error().outcome()).isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Example
+    void resumedStreamWhoseEngineLostItFailsInsteadOfStartingAgain() {
+        StreamMachine machine = StreamMachine.resumed(REQUEST, WEIGHTS, PROMPT_TOKENS, 3);
+        machine.startAt(EngineId.of("engine-0"), INCARNATION);
+        List<StreamAction> last =
+                machine.handle(new StreamEvent.Failed(1, ConnectionFailure.NOT_FOUND));
+        assertThat(last.get(last.size() - 1)).isInstanceOf(Fail.class);
+    }
+
+    @Example
+    void silentConnectionIsTriedAgainAtTheSameEngine() {
+        StreamMachine machine = StreamMachine.create(REQUEST, WEIGHTS, PROMPT_TOKENS);
+        machine.start();
+        EngineId engine = EngineId.of("engine-0");
+        machine.handle(new StreamEvent.Routed(engine));
+        List<StreamAction> next =
+                machine.handle(new StreamEvent.Failed(1, ConnectionFailure.SILENT));
+        assertThat(next).contains(new StreamAction.Resume(2, engine, 0));
+    }
+
+    private static Outcomes run(
+            long seed,
+            int length,
+            int faultPercent,
+            List<StreamAction> first,
+            Function<StreamEvent, List<StreamAction>> machine) {
+        Random random = new Random(seed);
+        FaultyEngine engine = new FaultyEngine(random, REQUEST, WEIGHTS, length, faultPercent);
+        Deque<StreamEvent> events = new ArrayDeque<>();
+        Outcomes seen = new Outcomes();
+        react(first, engine, random, events, seen);
+        while (!events.isEmpty()) {
+            react(machine.apply(events.poll()), engine, random, events, seen);
+        }
+        return seen;
+    }
+
+    private static void react(
+            List<StreamAction> actions,
+            FaultyEngine engine,
+            Random random,
+            Deque<StreamEvent> events,
+            Outcomes seen) {
+        for (StreamAction action : actions) {
+            seen.note(action);
+            if (action instanceof StreamAction.Route route) {
+                events.add(route(route, random));
+            } else if (action instanceof StreamAction.Open open) {
+                events.addAll(
+                        engine.connection(open.attempt(), open.delivered().size(), INCARNATION));
+            } else if (action instanceof StreamAction.Resume resume) {
+                events.addAll(engine.connection(resume.attempt(), resume.after(), INCARNATION));
+            }
+        }
+    }
+
+    private static StreamEvent route(StreamAction.Route route, Random random) {
+        if (route.excluded().size() == ENGINES) {
+            return new StreamEvent.RouteRefused(ErrorCode.NO_ENGINE);
+        }
+        EngineId engine;
+        do {
+            engine = EngineId.of("engine-" + random.nextInt(ENGINES));
+        } while (route.excluded().contains(engine));
+        return new StreamEvent.Routed(engine);
+    }
+
+    /** Returns what is wrong with the actions, empty if nothing is. */
+    private static String violation(Outcomes seen, int length) {
+        for (int i = 0; i < seen.mTexts.size(); i++) {
+            if (!seen.mTexts.get(i).equals(FaultyEngine.text(i + 1))) {
+                return "token " + (i + 1) + " is " + seen.mTexts.get(i);
+            }
+        }
+        if (seen.mCompletes + seen.mFails != 1) {
+            return seen.mCompletes + " completions and " + seen.mFails + " failures";
+        }
+        if (seen.mCompletes == 1 && seen.mTexts.size() != length) {
+            return "complete after " + seen.mTexts.size() + " of " + length;
+        }
+        return seen.mAfterEnd ? "something came after the end" : "";
+    }
+
+    /** What the caller was given. */
+    private static final class Outcomes {
+        private final List<String> mTexts = new ArrayList<>();
+        private int mCompletes;
+        private int mFails;
+        private boolean mAfterEnd;
+
+        private void note(StreamAction action) {
+            mAfterEnd |= mCompletes + mFails > 0;
+            if (action instanceof Deliver deliver) {
+                mTexts.add(deliver.text());
+            } else if (action instanceof Complete) {
+                mCompletes++;
+            } else if (action instanceof Fail) {
+                mFails++;
+            }
+        }
+    }
+
+    /** A relay that gives its caller whatever comes; broken on purpose. */
+    private static final class TrustingRelay {
+        private boolean mOver;
+
+        private List<StreamAction> start() {
+            return List.of(new StreamAction.Open(1, EngineId.of("engine-0"), List.of()));
+        }
+
+        private List<StreamAction> handle(StreamEvent event) {
+            if (mOver) {
+                return List.of();
+            }
+            if (event instanceof StreamEvent.Token token) {
+                return List.of(
+                        new Deliver(EngineId.of("engine-0"), token.sequence(), token.text()));
+            }
+            mOver = event instanceof StreamEvent.Ended || event instanceof StreamEvent.Failed;
+            return mOver ? List.of(new Complete(0, "stop")) : List.of();
+        }
+    }
+}
