Add membership, entry ranking, planned stops and the peer protocol's code

StopMachine takes at most one step a tick: a count of open requests that was taken before new ones were refused says nothing of the end.

--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/stop/StopMachine.java
@@ -0,0 +1,89 @@
+package org.catkinproxy.stop;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Decides the steps of a planned stop of an entry instance.
+ *
+ * <p>Invariants: states are passed in their order and never left backwards; from {@code ANNOUNCED}
+ * on the instance is named to no caller; it refuses only after the last answer that may have named
+ * it has expired; it leaves only when no request is open, unless the operator ends it.
+ *
+ * <p>Deterministic; confined to one thread. Times are milliseconds of a clock that never goes back.
+ */
+public final class StopMachine {
+    private final StopSettings mSettings;
+    private StopState mState = StopState.SERVING;
+    private long mNamedUntil;
+    private long mHandOverDeadline;
+    private boolean mPeersKnow;
+
+    /** Creates the machine of an instance that serves. */
+    public StopMachine(StopSettings settings) {
+        mSettings = checkNotNull(settings, "settings");
+    }
+
+    /** Returns how far the stop has come. */
+    public StopState state() {
+        return mState;
+    }
+
+    /** Takes in one event at time {@code now}, and returns what to do. */
+    public List<StopAction> on(StopEvent event, long now) {
+        List<StopAction> actions = new ArrayList<>();
+        if (event instanceof StopEvent.StopAsked) {
+            announce(now, actions);
+        } else if (event instanceof StopEvent.EndAsked) {
+            end(actions);
+        } else if (event instanceof StopEvent.PeersKnow) {
+            hearPeersKnow(now);
+        } else if (event instanceof StopEvent.HandedOver && mState == StopState.HANDING_OVER) {
+            end(actions);
+        } else if (event instanceof StopEvent.Tick tick) {
+            advance(tick.openRequests(), now, actions);
+        }
+        return actions;
+    }
+
+    private void announce(long now, List<StopAction> actions) {
+        if (mState != StopState.SERVING) {
+            return;
+        }
+        mState = StopState.ANNOUNCED;
+        mNamedUntil = now + mSettings.spreadMillis() + mSettings.entriesTtlMillis();
+        actions.add(StopAction.ANNOUNCE);
+    }
+
+    /** Answers given just before a peer learnt of the stop are kept for their time to live. */
+    private void hearPeersKnow(long now) {
+        if (mState == StopState.ANNOUNCED && !mPeersKnow) {
+            mPeersKnow = true;
+            mNamedUntil = Math.min(mNamedUntil, now + mSettings.entriesTtlMillis());
+        }
+    }
+
+    private void advance(int openRequests, long now, List<StopAction> actions) {
+        // The count was taken before this event, so it tells of the end only if nothing new could
+        // begin since: at most one step is taken a tick.
+        if (mState == StopState.ANNOUNCED && now >= mNamedUntil) {
+            mState = StopState.DRAINING;
+            actions.add(StopAction.REFUSE);
+        } else if (mState == StopState.DRAINING && openRequests == 0) {
+            mState = StopState.HANDING_OVER;
+            mHandOverDeadline = now + mSettings.handOverMillis();
+            actions.add(StopAction.HAND_OVER);
+        } else if (mState == StopState.HANDING_OVER && now >= mHandOverDeadline) {
+            end(actions);
+        }
+    }
+
+    private void end(List<StopAction> actions) {
+        if (mState != StopState.LEFT) {
+            mState = StopState.LEFT;
+            actions.add(StopAction.LEAVE);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/member/EntryRankingTest.java
@@ -0,0 +1,93 @@
+package org.catkinproxy.member;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Example;
+
+import org.catkinproxy.id.DataCentreId;
+import org.catkinproxy.id.InstanceId;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+final class EntryRankingTest {
+    private static final int CALLERS = 4_000;
+
+    private final Map<InstanceId, MemberState> mStates = new HashMap<>();
+
+    @Example
+    void callersSpreadByWeightAndLoad() {
+        add("one", "a", 1, false, 0);
+        add("two", "b", 2, false, 0);
+        add("busy", "c", 2, false, 500);
+        Map<String, Integer> firsts = firsts();
+        assertThat(firsts.get("two")).isGreaterThan(CALLERS * 45 / 100);
+        assertThat(firsts.get("two")).isLessThan(CALLERS * 55 / 100);
+        assertThat(firsts.get("one")).isGreaterThan(CALLERS * 20 / 100);
+        assertThat(firsts.get("busy")).isGreaterThan(CALLERS * 20 / 100);
+    }
+
+    @Example
+    void leavingAndUnreachableInstancesAreNotNamed() {
+        add("here", "a", 1, false, 0);
+        add("leaving", "b", 9, true, 0);
+        assertThat(firsts().keySet()).containsExactly("here");
+    }
+
+    @Example
+    void onlyTheCallersOfInstanceThatLeavesMove() {
+        add("one", "a", 1, false, 0);
+        add("two", "a", 1, false, 0);
+        add("three", "a", 1, false, 0);
+        MembershipView before = MembershipView.copyOf(mStates);
+        add("three", "a", 1, true, 0);
+        MembershipView after = MembershipView.copyOf(mStates);
+        for (int i = 0; i < CALLERS; i++) {
+            String caller = "caller" + i;
+            String old = first(before, caller);
+            if (!old.equals("three")) {
+                assertThat(first(after, caller)).isEqualTo(old);
+            }
+        }
+    }
+
+    @Example
+    void firstRanksLieInDifferentDataCentres() {
+        for (String id : List.of("a1", "a2", "a3", "b1")) {
+            add(id, id.substring(0, 1), 1, false, 0);
+        }
+        MembershipView view = MembershipView.copyOf(mStates);
+        for (int i = 0; i < CALLERS; i++) {
+            List<InstanceInfo> ranked = EntryRanking.rank(view, "caller" + i, 3);
+            assertThat(ranked).hasSize(3);
+            assertThat(ranked.get(0).dataCentre()).isNotEqualTo(ranked.get(1).dataCentre());
+        }
+    }
+
+    private Map<String, Integer> firsts() {
+        MembershipView view = MembershipView.copyOf(mStates);
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < CALLERS; i++) {
+            counts.merge(first(view, "caller" + i), 1, Integer::sum);
+        }
+        return counts;
+    }
+
+    private static String first(MembershipView view, String caller) {
+        return EntryRanking.rank(view, caller, 1).get(0).id().value();
+    }
+
+    private void add(String id, String dataCentre, int weight, boolean leaving, int load) {
+        InstanceInfo info =
+                new InstanceInfo(
+                        InstanceId.of(id),
+                        InstanceKind.ENTRY,
+                        "127.0.0.1:1",
+                        "127.0.0.1:2",
+                        DataCentreId.of(dataCentre),
+                        weight);
+        mStates.put(info.id(), new MemberState(info, leaving, true, Optional.empty(), load));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/stop/UpstreamStopTest.java
@@ -0,0 +1,23 @@
+package org.catkinproxy.stop;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Example;
+
+final class UpstreamStopTest {
+    private static final UpstreamStop STOP = new UpstreamStop(1_000, 500);
+
+    @Example
+    void isDrainedOnlyAfterSpreadAndWithoutAnyWork() {
+        assertThat(STOP.isDrained(1_500, 0, 0, 0, 1_500)).isTrue();
+        assertThat(STOP.isDrained(1_499, 0, 0, 0, 1_499)).isFalse();
+        assertThat(STOP.isDrained(2_000, 1, 0, 0, 2_000)).isFalse();
+        assertThat(STOP.isDrained(2_000, 0, 1, 0, 2_000)).isFalse();
+        assertThat(STOP.isDrained(2_000, 0, 0, 1, 2_000)).isFalse();
+    }
+
+    @Example
+    void reportOfBeforeTheSpreadEndedSaysNothing() {
+        assertThat(STOP.isDrained(2_000, 0, 0, 0, 1_400)).isFalse();
+    }
+}
--- a/daemon/src/main/java/org/catkinproxy/configuration/ConfigTask.java
+++ b/daemon/src/main/java/org/catkinproxy/configuration/ConfigTask.java
@@ -58,8 +58,10 @@
     private final FlowableProcessor<Configuration> mChanges =
             BehaviorProcessor.createDefault(Configuration.EMPTY).toSerialized();
     private volatile Configuration mCurrent = Configuration.EMPTY;
+    private volatile Configuration mLastParsed = Configuration.EMPTY;
     private volatile Optional<AcceptedSheet> mInForce = Optional.empty();
     private volatile boolean mFresh;
+    private volatile boolean mStoreFailing;
     private volatile long mLastTickMillis;
 
     private ConfigTask(
@@ -218,13 +220,24 @@
     }
 
     private void putInForce(AcceptedSheet sheet) {
-        Configuration configuration = sheet.configuration();
+        Configuration configuration = parse(sheet);
         mInForce = Optional.of(sheet);
         mCurrent = configuration;
         EventLog.log(LogEvent.REVISION_IN_FORCE, sheet.revision(), sheet.head().operator());
         mChanges.onNext(configuration);
     }
 
+    /** A sheet is parsed when it comes and again when it is put in force: the result is kept. */
+    private Configuration parse(AcceptedSheet sheet) {
+        Configuration last = mLastParsed;
+        if (last.revision().equals(sheet.revision())) {
+            return last;
+        }
+        Configuration parsed = sheet.configuration();
+        mLastParsed = parsed;
+        return parsed;
+    }
+
     private void exchange(RevisionAction.Exchange exchange) {
         mPeers.exchange(exchange.peer())
                 .subscribe(
@@ -234,11 +247,20 @@
     }
 
     private void readHead(RevisionAction.ReadHead read) {
-        mStore.head()
-                .subscribe(
-                        h -> post(new RevisionEvent.HeadRead(h, read.epoch())),
-                        e -> EventLog.log(LogEvent.STORE_FAILED, "the head row", e),
-                        mSubscriptions);
+        mStore.head().subscribe(h -> hearStore(h, read.epoch()), this::missStore, mSubscriptions);
+    }
+
+    private void hearStore(Optional<Head> head, long epoch) {
+        mStoreFailing = false;
+        post(new RevisionEvent.HeadRead(head, epoch));
+    }
+
+    /** An outage is logged once, not at every read. */
+    private void missStore(Throwable error) {
+        if (!mStoreFailing) {
+            EventLog.log(LogEvent.STORE_FAILED, "the head row", error);
+        }
+        mStoreFailing = true;
     }
 
     private void load(RevisionAction.Load load) {
@@ -246,7 +268,7 @@
         load.peer()
                 .map(p -> mPeers.fetch(p, head, mInForce))
                 .orElseGet(() -> mStore.content(head))
-                .doOnSuccess(AcceptedSheet::configuration)
+                .doOnSuccess(this::parse)
                 .subscribe(
                         s -> post(new RevisionEvent.Loaded(s)),
                         e -> failLoad(load, e.toString()),
