Serve operators over narrow ports, with keys of their own

The routes of docs/INTERFACES.md towards operators are plain functions over ports that other packages implement.

--- a/daemon/src/main/java/org/catkinproxy/http/HttpListener.java
+++ b/daemon/src/main/java/org/catkinproxy/http/HttpListener.java
@@ -58,7 +58,7 @@
         application.setServerOptions(options);
         application.error((ctx, cause, status) -> fail(ctx, toError(cause, status)));
         routes.accept(application);
-        application.start(server);
+        server.start(application);
         return new HttpListener(server);
     }
 
--- a/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
+++ b/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
@@ -36,8 +36,12 @@
     // 600: orders and leases
     // 700: platform
     STORE_FAILED(701, Level.WARN, "store did not answer {}: {}"),
-// 800: operators
-;
+    // 800: operators
+    OPERATOR_REFUSED(801, Level.WARN, "operator request {} refused: {}"),
+    STOP_REQUESTED(802, Level.INFO, "operator {} asked for a planned stop of {}"),
+    TLS_RELOADED(803, Level.INFO, "keys of the {} listener were read again"),
+    TLS_RELOAD_FAILED(804, Level.ERROR, "keys of the {} listener stay as they were: {}"),
+    ;
 
     private final int mNumber;
     private final Level mLevel;
--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/operator/RouteExplainer.java
@@ -0,0 +1,17 @@
+package org.catkinproxy.operator;
+
+import org.catkinproxy.admin.ExplainRequest;
+import org.catkinproxy.admin.RouteView;
+
+import io.reactivex.rxjava3.core.Single;
+
+/**
+ * Tells where a prompt would go, without sending it.
+ *
+ * <p>Failures are of type {@link org.catkinproxy.error.CatkinException}. Implementations are safe
+ * for use by any thread.
+ */
+public interface RouteExplainer {
+    /** Explains the route that the prompt would take now. */
+    Single<RouteView> explain(ExplainRequest request);
+}
