--- a/daemon/src/main/java/org/catkinproxy/relay/Relay.java
+++ b/daemon/src/main/java/org/catkinproxy/relay/Relay.java
@@ -9,6 +9,7 @@
 import io.reactivex.rxjava3.core.Scheduler;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
 
 /**
  * Starts a task for each request and counts those in progress.
@@ -20,25 +21,52 @@
     private final EngineFleet mFleet;
     private final EngineClient mClient;
     private final Scheduler mScheduler;
+    private final RelayObserver mObserver;
+    private final LongSupplier mClock;
     private final AtomicInteger mInProgress = new AtomicInteger();
 
     private Relay(
-            DispatchTask dispatch, EngineFleet fleet, EngineClient client, Scheduler scheduler) {
+            DispatchTask dispatch,
+            EngineFleet fleet,
+            EngineClient client,
+            Scheduler scheduler,
+            RelayObserver observer,
+            LongSupplier clock) {
         mDispatch = checkNotNull(dispatch, "dispatch");
         mFleet = checkNotNull(fleet, "fleet");
         mClient = checkNotNull(client, "client");
         mScheduler = checkNotNull(scheduler, "scheduler");
+        mObserver = checkNotNull(observer, "observer");
+        mClock = checkNotNull(clock, "clock");
     }
 
-    /** Returns a relay over these engines. */
+    /**
+     * Returns a relay over these engines.
+     *
+     * @param observer is told how requests ended
+     * @param clock the monotonic clock, in nanoseconds
+     */
     public static Relay create(
-            DispatchTask dispatch, EngineFleet fleet, EngineClient client, Scheduler scheduler) {
-        return new Relay(dispatch, fleet, client, scheduler);
+            DispatchTask dispatch,
+            EngineFleet fleet,
+            EngineClient client,
+            Scheduler scheduler,
+            RelayObserver observer,
+            LongSupplier clock) {
+        return new Relay(dispatch, fleet, client, scheduler, observer, clock);
     }
 
     /** Returns a task that begins to relay once it is started. */
     public RelayTask prepare(RelayRequest request, AnswerSink sink) {
-        return RelayTask.create(request, sink, mDispatch, mFleet, mClient, mScheduler, mInProgress);
+        return RelayTask.create(
+                request,
+                sink,
+                mDispatch,
+                mFleet,
+                mClient,
+                mScheduler,
+                new RelayTimes(request, mObserver, mClock),
+                mInProgress);
     }
 
     /** Returns how many answers are on their way. */
--- a/daemon/src/main/java/org/catkinproxy/relay/RelayTask.java
+++ b/daemon/src/main/java/org/catkinproxy/relay/RelayTask.java
@@ -40,6 +40,7 @@
     private final DispatchTask mDispatch;
     private final EngineFleet mFleet;
     private final EngineClient mClient;
+    private final RelayTimes mTimes;
     private final AtomicInteger mInProgress;
     private final StreamMachine mMachine;
     private final SerialDisposable mConnection = new SerialDisposable();
@@ -53,12 +54,14 @@
             EngineFleet fleet,
             EngineClient client,
             Scheduler scheduler,
+            RelayTimes times,
             AtomicInteger inProgress) {
         mRequest = request;
         mSink = sink;
         mDispatch = dispatch;
         mFleet = fleet;
         mClient = client;
+        mTimes = times;
         mInProgress = inProgress;
         mMachine = machine(request);
         mMailbox =
@@ -75,8 +78,9 @@
             EngineFleet fleet,
             EngineClient client,
             Scheduler scheduler,
+            RelayTimes times,
             AtomicInteger inProgress) {
-        return new RelayTask(request, sink, dispatch, fleet, client, scheduler, inProgress);
+        return new RelayTask(request, sink, dispatch, fleet, client, scheduler, times, inProgress);
     }
 
     /** Begins to relay; called once. */
@@ -135,16 +139,19 @@
             release(release);
         } else if (action instanceof StreamAction.Begin begin) {
             mDispatch.tell(new RouteEvent.Started(id(), begin.engine(), begin.cachedTokens()));
+            mTimes.begin(begin.engine(), begin.cachedTokens());
             mSink.begin(begin.engine(), begin.incarnation(), begin.cachedTokens());
         } else if (action instanceof StreamAction.Deliver deliver) {
             deliver(deliver);
         } else if (action instanceof StreamAction.Complete complete) {
             end();
+            mTimes.complete(complete.count());
             mSink.complete(complete.count(), complete.finish());
         } else if (action instanceof StreamAction.Fail fail) {
             EventLog.log(LogEvent.STREAM_BROKEN, id(), mMachine.delivered(), fail.error());
             mDispatch.withdraw(id());
             end();
+            mTimes.fail(fail.error());
             mSink.fail(fail.error());
         }
     }
@@ -198,6 +205,7 @@
 
     private void deliver(StreamAction.Deliver deliver) {
         if (deliver.sequence() == 1) {
+            mTimes.firstToken();
             mDispatch.tell(new RouteEvent.FirstToken(id(), deliver.engine()));
         }
         mSink.token(deliver.sequence(), deliver.text());
--- a/daemon/src/main/java/org/catkinproxy/upstream/EngineFleet.java
+++ b/daemon/src/main/java/org/catkinproxy/upstream/EngineFleet.java
@@ -60,6 +60,11 @@
         return Optional.ofNullable(mEndpoints.get(engine));
     }
 
+    /** Returns the last load report of an engine, if one has come. */
+    public Optional<SeenReport> lastReport(EngineId engine) {
+        return Optional.ofNullable(mMonitors.get(engine)).flatMap(EngineMonitor::lastReport);
+    }
+
     /** Returns all engines known. */
     public Collection<EngineEndpoint> endpoints() {
         return List.copyOf(mEndpoints.values());
--- a/daemon/src/main/java/org/catkinproxy/upstream/EngineMonitor.java
+++ b/daemon/src/main/java/org/catkinproxy/upstream/EngineMonitor.java
@@ -10,6 +10,7 @@
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.disposables.Disposable;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -33,6 +34,7 @@
     private final AtomicLong mLastSequence = new AtomicLong();
     private final AtomicLong mFailures = new AtomicLong();
     private final AtomicBoolean mSnapshotRunning = new AtomicBoolean();
+    private volatile SeenReport mLastReport;
 
     private EngineMonitor(
             EngineClient client, EngineEndpoint endpoint, Consumer<RouteEvent> events) {
@@ -50,8 +52,9 @@
         return monitor;
     }
 
-    EngineEndpoint endpoint() {
-        return mEndpoint;
+    /** Returns the last load report, if one has come. */
+    Optional<SeenReport> lastReport() {
+        return Optional.ofNullable(mLastReport);
     }
 
     /** Fetches a snapshot of the cache, unless that is under way. */
@@ -102,6 +105,7 @@
     }
 
     private void onLoad(EngineReport report) {
+        mLastReport = new SeenReport(report, System.nanoTime(), true);
         if (mFailures.getAndSet(0) >= LOST_AFTER_FAILURES) {
             EventLog.log(LogEvent.ENGINE_BACK, engine());
             mEvents.accept(new RouteEvent.Available(engine()));
@@ -111,6 +115,8 @@
 
     private void onLoadFailed() {
         if (mFailures.incrementAndGet() == LOST_AFTER_FAILURES) {
+            SeenReport last = mLastReport;
+            mLastReport = last == null ? null : last.asSilent();
             EventLog.log(LogEvent.ENGINE_LOST, engine());
             mEvents.accept(new RouteEvent.Unavailable(engine()));
         }
