--- a/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
+++ b/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
@@ -33,6 +33,9 @@
     CONFIGURATION_NOT_FRESH(404, Level.WARN, "revision {} may be out of date: no new requests"),
     // 500: peers and membership
     PEER_FAILED(501, Level.DEBUG, "instance {} did not answer: {}"),
+    PEER_SERVER_FAILED(502, Level.ERROR, "the listener for peers failed: {}"),
+    STOP_STEP(510, Level.INFO, "planned stop: {}"),
+    STOP_NOT_TOLD(511, Level.WARN, "planned stop: a peer was not told at once: {}"),
     // 600: orders and leases
     // 700: platform
     STORE_FAILED(701, Level.WARN, "store did not answer {}: {}"),
