--- /dev/null
+++ b/daemon/src/main/java/org/catkinproxy/calls/CallSweeper.java
@@ -0,0 +1,105 @@
+package org.catkinproxy.calls;
+
+import org.catkinproxy.call.CallAnswer;
+import org.catkinproxy.call.CallRecord;
+import org.catkinproxy.observe.EventLog;
+import org.catkinproxy.observe.LogEvent;
+import org.catkinproxy.platform.ObjectStore;
+import org.catkinproxy.platform.TableService;
+import org.catkinproxy.service.CallStatus;
+import org.catkinproxy.service.ServiceClient;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Observable;
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+
+import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Records calls that routers left open, from the services' own account of them.
+ *
+ * <p>Only a service's word that a call ran settles it; that it has not run up to now settles
+ * nothing, since a request may still be on its way. All routers sweep, each at its own random
+ * moment of the period, and compare-and-set keeps them from disturbing each other. Safe for use by
+ * any thread.
+ */
+public final class CallSweeper implements Disposable {
+    /** How often the open calls are looked through where the settings name nothing else. */
+    public static final Duration DEFAULT_PERIOD = Duration.ofMinutes(2);
+
+    private static final Duration STATUS_TIMEOUT = Duration.ofSeconds(2);
+
+    private final CallTable mTable;
+    private final ServiceClient mServices;
+    private final ServiceDirectory mDirectory;
+    private final Disposable mSubscription;
+
+    private CallSweeper(
+            CallTable table, ServiceClient services, ServiceDirectory directory, Duration period) {
+        mTable = table;
+        mServices = services;
+        mDirectory = directory;
+        long periodMillis = period.toMillis();
+        long first = ThreadLocalRandom.current().nextLong(periodMillis);
+        mSubscription =
+                Flowable.interval(
+                                first,
+                                periodMillis,
+                                TimeUnit.MILLISECONDS,
+                                Schedulers.computation())
+                        .onBackpressureDrop()
+                        .concatMapCompletable(tick -> sweep(), 1)
+                        .subscribe();
+    }
+
+    /** Starts sweeping every {@code period}. */
+    public static CallSweeper start(
+            TableService tables,
+            ObjectStore objects,
+            ServiceClient services,
+            ServiceDirectory directory,
+            Duration period) {
+        return new CallSweeper(new CallTable(tables, objects), services, directory, period);
+    }
+
+    @Override
+    public void dispose() {
+        mSubscription.dispose();
+    }
+
+    @Override
+    public boolean isDisposed() {
+        return mSubscription.isDisposed();
+    }
+
+    private Completable sweep() {
+        return mTable.open()
+                .filter(call -> mDirectory.hasOneWorkspace(call.record().service()))
+                .concatMapCompletable(this::settle)
+                .doOnError(e -> EventLog.log(LogEvent.CALL_SWEEP_FAILED, e))
+                .onErrorComplete();
+    }
+
+    private Completable settle(CallView call) {
+        return Observable.fromIterable(mDirectory.instances(call.record().service()))
+                .concatMapSingle(
+                        i -> mServices.status(i.address(), call.key().key(), STATUS_TIMEOUT))
+                .filter(status -> status.answer().isPresent())
+                .map(CallStatus::answer)
+                .firstElement()
+                .flatMapCompletable(answer -> record(call, answer.orElseThrow()));
+    }
+
+    /** A conflict means that somebody else settled the call, which is as good. */
+    private Completable record(CallView call, CallAnswer answer) {
+        CallRecord done = call.record().done(answer);
+        return mTable.write(call.key(), call.version(), done)
+                .doOnSuccess(version -> EventLog.log(LogEvent.CALL_RECORDED, call.key()))
+                .ignoreElement()
+                .onErrorComplete();
+    }
+}
--- a/daemon/src/main/java/org/catkinproxy/calls/CallTable.java
+++ b/daemon/src/main/java/org/catkinproxy/calls/CallTable.java
@@ -5,17 +5,21 @@
 import org.catkinproxy.id.CallKey;
 import org.catkinproxy.id.IdempotencyKey;
 import org.catkinproxy.id.WorkspaceId;
+import org.catkinproxy.observe.EventLog;
+import org.catkinproxy.observe.LogEvent;
 import org.catkinproxy.platform.ObjectStore;
 import org.catkinproxy.platform.RowWrite;
 import org.catkinproxy.platform.TableRow;
 import org.catkinproxy.platform.TableService;
 
 import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Maybe;
 import io.reactivex.rxjava3.core.Single;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -29,6 +33,7 @@
     private static final String AUDIT_TABLE = "audit";
     private static final char SEPARATOR = '~';
     private static final long TIMEOUT_MILLIS = 5_000;
+    private static final int PAGE_ROWS = 200;
 
     private final TableService mTables;
     private final ObjectStore mObjects;
@@ -67,11 +72,22 @@
                 .ignoreElement();
     }
 
-    /** Reads a page of rows, without the bodies that are kept in objects. */
-    Single<List<KeyedCall>> page(String afterRow, int limit) {
-        return mTables.scan(TABLE, "", afterRow, limit)
+    /** Reads all rows of calls whose outcome is unknown, in the order of their keys. */
+    Flowable<CallView> open() {
+        return pagesAfter("").concatMapIterable(page -> page).filter(CallView::isOpen);
+    }
+
+    private Flowable<List<CallView>> pagesAfter(String row) {
+        return mTables.scan(TABLE, "", row, PAGE_ROWS)
                 .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                .map(rows -> rows.stream().map(CallTable::keyed).toList());
+                .flatMapPublisher(
+                        rows -> {
+                            Flowable<List<CallView>> page = Flowable.just(views(rows));
+                            return rows.size() < PAGE_ROWS
+                                    ? page
+                                    : page.concatWith(
+                                            Flowable.defer(() -> pagesAfter(lastKey(rows))));
+                        });
     }
 
     private Completable keepBody(CallRecord record) {
@@ -99,8 +115,22 @@
         return new StoredCall(row.version(), CallCodec.decode(row.value(), object));
     }
 
-    private static KeyedCall keyed(TableRow row) {
-        return new KeyedCall(row.key(), callKey(row.key()), stored(row, new byte[0]));
+    private static List<CallView> views(List<TableRow> rows) {
+        return rows.stream().map(CallTable::view).flatMap(Optional::stream).toList();
+    }
+
+    private static Optional<CallView> view(TableRow row) {
+        try {
+            StoredCall stored = stored(row, new byte[0]);
+            return Optional.of(new CallView(callKey(row.key()), stored.version(), stored.record()));
+        } catch (RuntimeException e) {
+            EventLog.log(LogEvent.CALL_ROW_MALFORMED, row.key(), e);
+            return Optional.empty();
+        }
+    }
+
+    private static String lastKey(List<TableRow> rows) {
+        return rows.get(rows.size() - 1).key();
     }
 
     private static String rowKey(CallKey key) {
@@ -113,7 +143,4 @@
                 WorkspaceId.of(rowKey.substring(0, end)),
                 IdempotencyKey.of(rowKey.substring(end + 1)));
     }
-
-    /** A call as a scan finds it. */
-    record KeyedCall(String rowKey, CallKey key, StoredCall stored) {}
 }
