--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -2,115 +2,163 @@
 
 import com.google.common.base.Ticker;
 
+import org.catkinproxy.admin.BurnMessage;
+import org.catkinproxy.admin.RevisionView;
 import org.catkinproxy.caller.ActiveRequests;
 import org.catkinproxy.caller.CallerApi;
 import org.catkinproxy.caller.CallerLimits;
 import org.catkinproxy.caller.EntryDirectory;
 import org.catkinproxy.caller.Gate;
+import org.catkinproxy.calls.CallAdmin;
 import org.catkinproxy.calls.CallRunner;
 import org.catkinproxy.calls.CallSettings;
 import org.catkinproxy.config.Configuration;
 import org.catkinproxy.config.Workspace;
 import org.catkinproxy.configuration.ConfigTask;
-import org.catkinproxy.configuration.RevisionPeers;
 import org.catkinproxy.dispatch.DispatchTask;
 import org.catkinproxy.http.HttpLimits;
 import org.catkinproxy.http.HttpListener;
-import org.catkinproxy.id.EngineId;
+import org.catkinproxy.id.Incarnation;
+import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.id.Revision;
 import org.catkinproxy.id.WorkspaceId;
+import org.catkinproxy.member.EntryRanking;
+import org.catkinproxy.member.MemberState;
+import org.catkinproxy.member.MembershipView;
+import org.catkinproxy.membership.MembershipTask;
+import org.catkinproxy.membership.StopTask;
 import org.catkinproxy.observe.EventLog;
 import org.catkinproxy.observe.LogEvent;
-import org.catkinproxy.platform.HttpInstanceList;
-import org.catkinproxy.platform.HttpObjectStore;
-import org.catkinproxy.platform.HttpTableService;
-import org.catkinproxy.platform.PlatformClient;
+import org.catkinproxy.operator.OperatorKeys;
+import org.catkinproxy.operator.OperatorPorts;
+import org.catkinproxy.operator.OperatorRoutes;
+import org.catkinproxy.peer.PeerHooks;
+import org.catkinproxy.peer.PeerLink;
+import org.catkinproxy.peer.PeerTimeouts;
 import org.catkinproxy.relay.Relay;
+import org.catkinproxy.relay.RelayObserver;
+import org.catkinproxy.revision.AcceptedSheet;
 import org.catkinproxy.revision.SpreadSettings;
+import org.catkinproxy.route.EngineReport;
 import org.catkinproxy.route.RouteEvent;
 import org.catkinproxy.service.OkHttpServiceClient;
 import org.catkinproxy.settings.Limits;
+import org.catkinproxy.settings.Listener;
 import org.catkinproxy.settings.Settings;
+import org.catkinproxy.stop.StopSettings;
 import org.catkinproxy.stream.ResumeTokenCodec;
 import org.catkinproxy.upstream.EngineFleet;
 import org.catkinproxy.upstream.EngineTimeouts;
 import org.catkinproxy.upstream.HttpEngineClient;
 
+import io.jooby.Jooby;
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 
-import java.net.URI;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.UUID;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 /**
  * One running instance: all its tasks, tied together.
  *
- * <p>Started and stopped once, by one thread each.
+ * <p>Started by one thread; may be stopped by any.
  */
-public final class Daemon {
+public final class Daemon implements AutoCloseable {
     private static final int MAX_TOKENS = 32_768;
+    private static final int MAX_ENTRIES = 8;
     private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(10);
     private static final Duration MAX_DEADLINE = Duration.ofMinutes(5);
     private static final int ENGINE_CONNECT_MILLIS = 500;
     private static final int ENGINE_CONTROL_MILLIS = 1_000;
 
     private final Settings mSettings;
+    private final Incarnation mIncarnation = Incarnation.of(UUID.randomUUID().toString());
     private final CompositeDisposable mTasks = new CompositeDisposable();
     private final ActiveRequests mActive = new ActiveRequests();
+    private final Gate mGate = new CallerGate();
+    private final MembershipTask mMembership;
     private final ConfigTask mConfig;
-    private final InstancePoller mInstances;
     private final EngineFleet mEngines;
     private final DispatchTask mDispatch;
+    private final RouterHooks mHooks;
+    private final PeerLink mPeers;
     private final CallRunner mCalls;
     private final Relay mRelay;
+    private final StopTask mStop;
     private final HttpListener mCallers;
-    private volatile Fleet mFleet = Fleet.of(List.of(), Configuration.EMPTY);
-    private volatile boolean mOpen = true;
+    private final HttpListener mOperators;
+    private volatile Fleet mFleet = Fleet.of(MembershipView.EMPTY, Configuration.EMPTY);
 
     private Daemon(Settings settings) {
         mSettings = settings;
-        HttpTableService table = HttpTableService.create(platform(settings.platform().table()));
-        HttpObjectStore objects = HttpObjectStore.create(platform(settings.platform().objects()));
-        mConfig =
-                ConfigTask.create(
-                        table,
-                        objects,
-                        RevisionPeers.NONE,
+        Platform platform = Platform.of(settings.platform());
+        mMembership =
+                MembershipTask.create(
+                        settings.instance(),
+                        mIncarnation,
+                        platform.instances(),
                         Schedulers.computation(),
                         Ticker.systemTicker(),
-                        SpreadSettings.DEFAULT,
                         new SplittableRandom());
-        mInstances =
-                InstancePoller.start(
-                        HttpInstanceList.create(platform(settings.platform().instances())));
         HttpEngineClient engineClient = HttpEngineClient.create(engineTimeouts(settings.limits()));
-        mEngines = EngineFleet.create(engineClient, this::tell);
+        mEngines = EngineFleet.create(engineClient, this::tell, this::noteReport);
         mDispatch =
                 DispatchTask.start(
                         settings.dispatch(),
                         new SplittableRandom(),
                         System::nanoTime,
                         Schedulers.computation(),
-                        this::resync);
+                        mEngines::resync);
+        mRelay =
+                Relay.create(
+                        mDispatch,
+                        mEngines,
+                        engineClient,
+                        Schedulers.computation(),
+                        RelayObserver.NONE,
+                        System::nanoTime);
+        mHooks =
+                RouterHooks.start(
+                        mDispatch, this::openRequests, settings.limits().maxConcurrentRequests());
+        mPeers = openPeerLink(mHooks);
+        mConfig =
+                ConfigTask.create(
+                        platform.table(),
+                        platform.objects(),
+                        mPeers,
+                        Schedulers.computation(),
+                        Ticker.systemTicker(),
+                        SpreadSettings.DEFAULT,
+                        new SplittableRandom());
         mCalls =
                 CallRunner.create(
                         new CallSettings(
                                 settings.instance(),
                                 settings.secrets().callReceiptKey(),
                                 CallSettings.DEFAULT_RETENTION),
-                        table,
-                        objects,
+                        platform.table(),
+                        platform.objects(),
                         OkHttpServiceClient.create());
-        mRelay = Relay.create(mDispatch, mEngines, engineClient, Schedulers.computation());
-        mCallers = openCallers();
+        mStop = createStop();
+        mPeers.serve(settings.peers(), new InForce(), mConfig.changes());
+        mCallers = listen(settings.callers(), callerApi()::accept);
+        mOperators =
+                listen(
+                        settings.operators(),
+                        operatorRoutes(CallAdmin.create(platform.table(), platform.objects()))
+                                ::addTo);
     }
 
-    /** Starts an instance; it serves callers when this returns. */
+    /** Starts an instance; its ports are open when this returns. */
     public static Daemon start(Settings settings) {
         Daemon daemon = new Daemon(settings);
         daemon.begin();
@@ -122,6 +170,16 @@
         return mCallers.port();
     }
 
+    /** Returns the port on which operators are served. */
+    public int operatorPort() {
+        return mOperators.port();
+    }
+
+    /** Returns the port on which other daemons are answered. */
+    public int peerPort() {
+        return mPeers.port();
+    }
+
     /** Returns the dispatch task. */
     public DispatchTask dispatch() {
         return mDispatch;
@@ -132,28 +190,41 @@
         return mConfig;
     }
 
-    /** Stops the instance: refuses new requests, lets those in progress end, and closes. */
+    /** Begins a planned stop; {@link #left} says when it is over. */
     public void stop() {
-        mOpen = false;
-        long until = System.nanoTime() + mSettings.stopGrace().toNanos();
-        while (inProgress() > 0 && System.nanoTime() < until) {
-            sleepBriefly();
-        }
+        mStop.stop();
+    }
+
+    /** Completes when a planned stop is over and the process may end. */
+    public Completable left() {
+        return mStop.left();
+    }
+
+    /** Ends the instance at once; requests in progress are cut. */
+    @Override
+    public void close() {
         mCallers.close();
+        mOperators.close();
         mTasks.dispose();
-        mInstances.dispose();
+        mStop.dispose();
+        mHooks.dispose();
         mEngines.close();
         mDispatch.dispose();
         mCalls.dispose();
         mConfig.dispose();
+        mPeers.dispose();
+        mMembership.dispose();
         EventLog.log(LogEvent.DAEMON_STOPPED, mSettings.instance());
     }
 
     private void begin() {
         mTasks.add(
-                Flowable.combineLatest(mInstances.changes(), mConfig.changes(), Fleet::of)
+                Flowable.combineLatest(mMembership.views(), mConfig.changes(), Fleet::of)
+                        .observeOn(Schedulers.single())
                         .subscribe(this::replaceFleet));
         mTasks.add(mConfig.changes().subscribe(this::configure));
+        mTasks.add(mMembership.views().subscribe(this::stopIfLeaving));
+        mMembership.start(mConfig.changes());
         mConfig.start();
         EventLog.log(
                 LogEvent.DAEMON_STARTED,
@@ -173,51 +244,125 @@
         mDispatch.tell(new RouteEvent.SharesChanged(shares));
     }
 
+    /** The platform, an operator at any instance or a peer may have said that this one leaves. */
+    private void stopIfLeaving(MembershipView view) {
+        if (view.find(mSettings.instance()).map(MemberState::leaving).orElse(false)) {
+            mStop.stop();
+        }
+    }
+
     private void tell(RouteEvent event) {
         mDispatch.tell(event);
     }
 
-    private void resync(EngineId engine) {
-        mEngines.resync(engine);
+    private void noteReport(EngineReport report) {
+        InstanceId instance = InstanceId.of(report.engine().value());
+        mMembership.answered(instance, report.incarnation(), 0);
     }
 
-    private int inProgress() {
+    private int openRequests() {
         return mActive.count() + mRelay.inProgress();
     }
 
-    private HttpListener openCallers() {
+    private PeerLink openPeerLink(PeerHooks hooks) {
+        return PeerLink.create(
+                mSettings.instance(),
+                mIncarnation,
+                mMembership,
+                hooks,
+                PeerTimeouts.DEFAULT,
+                mSettings.peers());
+    }
+
+    private StopTask createStop() {
+        StopSettings defaults = StopSettings.DEFAULT;
+        return StopTask.create(
+                new StopSettings(
+                        mSettings.entriesTtl().toMillis(),
+                        defaults.spreadMillis(),
+                        defaults.handOverMillis()),
+                this::openRequests,
+                new StopSteps(),
+                Schedulers.computation(),
+                Ticker.systemTicker());
+    }
+
+    private CallerApi callerApi() {
+        Limits limits = mSettings.limits();
+        return CallerApi.create(
+                mGate,
+                mRelay,
+                mCalls,
+                pool -> mFleet.instances(pool),
+                new Entries(),
+                ResumeTokenCodec.create(mSettings.secrets().resumeTokenKey()),
+                new CallerLimits(
+                        MAX_TOKENS,
+                        DEFAULT_DEADLINE,
+                        MAX_DEADLINE,
+                        limits.heartbeat(),
+                        limits.requestsPerSecond(),
+                        limits.maxConcurrentRequests()),
+                mActive,
+                System::nanoTime);
+    }
+
+    private OperatorRoutes operatorRoutes(CallAdmin calls) {
+        return OperatorRoutes.create(
+                OperatorKeys.of(mSettings.operatorDigests()),
+                new OperatorPorts(
+                        new LocalFleetView(
+                                mSettings, mGate, mMembership, mEngines, this::openRequests),
+                        new ConfigSheets(mConfig, this::revisions),
+                        new CallTableAdmin(calls),
+                        new MembershipStops(mMembership, mEngines),
+                        new DispatchExplainer(
+                                mConfig::current, mDispatch, mSettings.dispatch().policy()),
+                        this::burn,
+                        () -> ""));
+    }
+
+    private BurnMessage burn() {
+        return new BurnMessage(
+                mSettings.instance().value(),
+                mConfig.current().revision().value(),
+                mSettings.burnWindows().shortWindow().toMillis(),
+                mSettings.burnWindows().longWindow().toMillis(),
+                Map.of(),
+                List.of());
+    }
+
+    private List<RevisionView> revisions() {
+        List<RevisionView> views = new ArrayList<>();
+        views.add(view(mSettings.instance(), mConfig.current().revision()));
+        mPeers.revisions()
+                .blockingGet()
+                .forEach(
+                        (peer, said) ->
+                                views.add(
+                                        view(
+                                                peer,
+                                                said.map(s -> s.revision())
+                                                        .orElse(Revision.NONE))));
+        return views;
+    }
+
+    private static RevisionView view(InstanceId instance, Revision revision) {
+        return new RevisionView(instance.value(), revision.value());
+    }
+
+    private HttpListener listen(Listener listener, Consumer<Jooby> routes) {
         Limits limits = mSettings.limits();
-        CallerApi api =
-                CallerApi.create(
-                        new CallerGate(),
-                        mRelay,
-                        mCalls,
-                        pool -> mFleet.instances(pool),
-                        new Entries(),
-                        ResumeTokenCodec.create(mSettings.secrets().resumeTokenKey()),
-                        new CallerLimits(
-                                MAX_TOKENS,
-                                DEFAULT_DEADLINE,
-                                MAX_DEADLINE,
-                                limits.heartbeat(),
-                                limits.requestsPerSecond(),
-                                limits.maxConcurrentRequests()),
-                        mActive,
-                        System::nanoTime);
         return HttpListener.open(
-                mSettings.callers().host(),
-                mSettings.callers().port(),
+                listener.host(),
+                listener.port(),
                 new HttpLimits(
                         limits.maxBodyBytes(),
                         limits.maxHeaderBytes(),
                         (int) limits.bodyReadTimeout().toMillis(),
                         2 * limits.maxConcurrentRequests()),
                 Optional.empty(),
-                api);
-    }
-
-    private PlatformClient platform(URI base) {
-        return PlatformClient.create(base.toString(), mSettings.platform().callTimeout());
+                routes);
     }
 
     private static EngineTimeouts engineTimeouts(Limits limits) {
@@ -225,14 +370,6 @@
                 ENGINE_CONNECT_MILLIS, (int) limits.streamIdle().toMillis(), ENGINE_CONTROL_MILLIS);
     }
 
-    private static void sleepBriefly() {
-        try {
-            Thread.sleep(50);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** What callers' requests depend on. Safe for use by any thread. */
     private final class CallerGate implements Gate {
         @Override
@@ -247,7 +384,7 @@
 
         @Override
         public boolean isOpen() {
-            return mOpen;
+            return mStop.isAccepting();
         }
     }
 
@@ -255,7 +392,9 @@
     private final class Entries implements EntryDirectory {
         @Override
         public List<Entry> entries(String caller) {
-            return mFleet.entries(caller);
+            return EntryRanking.rank(mMembership.view(), caller, MAX_ENTRIES).stream()
+                    .map(i -> new Entry(i.id(), i.address()))
+                    .toList();
         }
 
         @Override
@@ -263,4 +402,31 @@
             return mSettings.entriesTtl().toMillis();
         }
     }
+
+    /** What peers are told of the configuration. Safe for use by any thread. */
+    private final class InForce implements PeerLink.InForce {
+        @Override
+        public Optional<AcceptedSheet> sheet() {
+            return mConfig.inForce();
+        }
+
+        @Override
+        public boolean isFresh() {
+            return mConfig.isFresh();
+        }
+    }
+
+    /** The steps of a planned stop that reach other processes. Safe for use by any thread. */
+    private final class StopSteps implements StopTask.Steps {
+        @Override
+        public Completable announce() {
+            return mPeers.announceLeave();
+        }
+
+        @Override
+        public Completable handOver() {
+            // All that must last is in the platform's service; peers learn the rest from engines.
+            return Completable.complete();
+        }
+    }
 }
--- a/daemon/src/main/java/org/catkinproxy/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/DaemonMain.java
@@ -1,12 +1,16 @@
 package org.catkinproxy.daemon;
 
 import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.observe.EventLog;
+import org.catkinproxy.observe.LogEvent;
 import org.catkinproxy.settings.Settings;
 import org.catkinproxy.settings.SettingsFile;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 
 import java.io.PrintStream;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 
 /** Starts the daemon from the command line. Stateless. */
 public final class DaemonMain {
@@ -52,8 +56,21 @@
             System.err.println(e.getMessage());
             System.exit(EXIT_SETTINGS);
         }
+        Duration longestStop = settings.stopGrace().plus(settings.entriesTtl());
         Daemon daemon = Daemon.start(settings);
-        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, longestStop), "stop"));
+        daemon.left().blockingAwait();
+        System.exit(EXIT_OK);
+    }
+
+    /** Runs on the first signal; the planned stop may already be over, or takes its time. */
+    private static void stop(Daemon daemon, Duration longest) {
+        daemon.stop();
+        boolean over = daemon.left().blockingAwait(longest.toMillis(), TimeUnit.MILLISECONDS);
+        if (!over) {
+            EventLog.log(LogEvent.STOP_CUT_SHORT, longest);
+        }
+        daemon.close();
     }
 
     private static void usage(CmdLineParser parser, PrintStream out) {
--- a/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
+++ b/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
@@ -13,6 +13,7 @@
     DAEMON_STARTED(101, Level.INFO, "instance {} serves callers on {}"),
     DAEMON_STOPPED(102, Level.INFO, "instance {} stopped"),
     TASK_FAILED(103, Level.ERROR, "task {} failed on a message: {}"),
+    STOP_CUT_SHORT(104, Level.WARN, "the stop took longer than {}; open requests are cut"),
     // 200: callers and streams
     REQUEST_REFUSED(201, Level.INFO, "request {} refused: {}"),
     STREAM_CONTINUED(202, Level.WARN, "request {} continues after token {} on engine {}: {}"),
--- a/daemon/src/main/java/org/catkinproxy/upstream/EngineFleet.java
+++ b/daemon/src/main/java/org/catkinproxy/upstream/EngineFleet.java
@@ -1,6 +1,7 @@
 package org.catkinproxy.upstream;
 
 import org.catkinproxy.id.EngineId;
+import org.catkinproxy.route.EngineReport;
 import org.catkinproxy.route.RouteEvent;
 
 import java.util.Collection;
@@ -13,28 +14,33 @@
 import java.util.function.Consumer;
 
 /**
- * The engines that this instance knows, each that may get work watched by a monitor.
+ * The engines that this instance knows, each watched by a monitor.
  *
  * <p>{@link #update} is called by one task; the look-ups by any thread.
  */
 public final class EngineFleet implements AutoCloseable {
     private final EngineClient mClient;
     private final Consumer<RouteEvent> mEvents;
+    private final Consumer<EngineReport> mReports;
     private final Map<EngineId, EngineEndpoint> mEndpoints = new ConcurrentHashMap<>();
     private final Map<EngineId, EngineMonitor> mMonitors = new ConcurrentHashMap<>();
 
-    private EngineFleet(EngineClient client, Consumer<RouteEvent> events) {
+    private EngineFleet(
+            EngineClient client, Consumer<RouteEvent> events, Consumer<EngineReport> reports) {
         mClient = client;
         mEvents = events;
+        mReports = reports;
     }
 
     /**
-     * Returns a fleet without engines.
+     * Returns a fleet without engines; the consumers are called by any thread.
      *
-     * @param events is told of everything the monitors see, by any thread
+     * @param events is told of everything seen of engines that may get work
+     * @param reports gets the load reports of all engines, leaving ones included
      */
-    public static EngineFleet create(EngineClient client, Consumer<RouteEvent> events) {
-        return new EngineFleet(client, events);
+    public static EngineFleet create(
+            EngineClient client, Consumer<RouteEvent> events, Consumer<EngineReport> reports) {
+        return new EngineFleet(client, events, reports);
     }
 
     /** Replaces the engines known; monitors of engines that stay go on. */
@@ -95,11 +101,10 @@
 
     private void replaceMonitor(EngineEndpoint endpoint) {
         stopMonitor(endpoint.engine());
-        if (endpoint.leaving()) {
-            return;
-        }
-        mEvents.accept(new RouteEvent.Available(endpoint.engine()));
-        mMonitors.put(endpoint.engine(), EngineMonitor.start(mClient, endpoint, mEvents));
+        // An engine that leaves is still heard, since its next start may get work again.
+        Consumer<RouteEvent> events = endpoint.leaving() ? e -> {} : mEvents;
+        events.accept(new RouteEvent.Available(endpoint.engine()));
+        mMonitors.put(endpoint.engine(), EngineMonitor.start(mClient, endpoint, events, mReports));
     }
 
     private void stopMonitor(EngineId engine) {
--- a/daemon/src/main/java/org/catkinproxy/upstream/EngineMonitor.java
+++ b/daemon/src/main/java/org/catkinproxy/upstream/EngineMonitor.java
@@ -30,6 +30,7 @@
     private final EngineClient mClient;
     private final EngineEndpoint mEndpoint;
     private final Consumer<RouteEvent> mEvents;
+    private final Consumer<EngineReport> mReports;
     private final CompositeDisposable mWork = new CompositeDisposable();
     private final AtomicLong mLastSequence = new AtomicLong();
     private final AtomicLong mFailures = new AtomicLong();
@@ -37,16 +38,23 @@
     private volatile SeenReport mLastReport;
 
     private EngineMonitor(
-            EngineClient client, EngineEndpoint endpoint, Consumer<RouteEvent> events) {
+            EngineClient client,
+            EngineEndpoint endpoint,
+            Consumer<RouteEvent> events,
+            Consumer<EngineReport> reports) {
         mClient = client;
         mEndpoint = endpoint;
         mEvents = events;
+        mReports = reports;
     }
 
     /** Begins to watch an engine. */
     static EngineMonitor start(
-            EngineClient client, EngineEndpoint endpoint, Consumer<RouteEvent> events) {
-        EngineMonitor monitor = new EngineMonitor(client, endpoint, events);
+            EngineClient client,
+            EngineEndpoint endpoint,
+            Consumer<RouteEvent> events,
+            Consumer<EngineReport> reports) {
+        EngineMonitor monitor = new EngineMonitor(client, endpoint, events, reports);
         monitor.mWork.add(monitor.watchLoad());
         monitor.mWork.add(monitor.watchCache());
         return monitor;
@@ -111,6 +119,7 @@
             mEvents.accept(new RouteEvent.Available(engine()));
         }
         mEvents.accept(new RouteEvent.Reported(report));
+        mReports.accept(report);
     }
 
     private void onLoadFailed() {
--- a/daemon/src/test/java/org/catkinproxy/daemon/TestCluster.java
+++ b/daemon/src/test/java/org/catkinproxy/daemon/TestCluster.java
@@ -78,6 +78,7 @@
         }
         Daemon first = cluster.mDaemons.get(0);
         first.configuration().apply(cluster.sheet(), Revision.NONE, "test").blockingGet();
+        cluster.mDaemons.forEach(d -> await(() -> d.configuration().isFresh()));
         cluster.mDaemons.forEach(cluster::awaitEngines);
         return cluster;
     }
@@ -105,7 +106,11 @@
     Daemon addDaemon(String name) throws IOException {
         Daemon daemon = Daemon.start(settings(name));
         mDaemons.add(daemon);
-        register(name, "entry", "127.0.0.1:" + daemon.callerPort());
+        register(
+                name,
+                "entry",
+                "127.0.0.1:" + daemon.callerPort(),
+                "127.0.0.1:" + daemon.peerPort());
         return daemon;
     }
 
@@ -146,11 +151,16 @@
     }
 
     void register(String id, String kind, String address) throws IOException {
+        register(id, kind, address, "");
+    }
+
+    private void register(String id, String kind, String address, String peerAddress)
+            throws IOException {
         String body =
                 String.format(
-                        "{\"id\":\"%s\",\"kind\":\"%s\",\"address\":\"%s\",\"peerAddress\":\"\","
+                        "{\"id\":\"%s\",\"kind\":\"%s\",\"address\":\"%s\",\"peerAddress\":\"%s\","
                                 + "\"dataCentre\":\"dc-1\",\"state\":\"live\",\"weight\":1}",
-                        id, kind, address);
+                        id, kind, address, peerAddress);
         Request request =
                 new Request.Builder()
                         .url(mPlatform.url() + "/instances/" + id)
@@ -175,7 +185,7 @@
 
     @Override
     public void close() {
-        mDaemons.forEach(Daemon::stop);
+        mDaemons.forEach(Daemon::close);
         mEngines.forEach(EngineStandin::close);
         mService.close();
         mPlatform.close();
