--- a/bench/src/main/java/org/catkinproxy/demo/Caller.java
+++ b/bench/src/main/java/org/catkinproxy/demo/Caller.java
@@ -22,7 +22,8 @@
 public final class Caller {
     private static final Duration IDLE = Duration.ofSeconds(5);
     private static final Duration CALL = Duration.ofSeconds(15);
-    private static final Duration PAUSE = Duration.ofMillis(200);
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(200);
+    private static final int MAX_DOUBLINGS = 3;
     private static final AtomicInteger NUMBER = new AtomicInteger();
 
     private final String mId = "caller-" + NUMBER.incrementAndGet();
@@ -76,7 +77,7 @@
         StreamReader reader = new StreamReader();
         for (int i = 0; i < maxConnections && !reader.isDone(); i++) {
             if (i > 0) {
-                Cluster.sleep(PAUSE);
+                pause(i);
             }
             streamOnce(reader, body, i);
         }
@@ -106,7 +107,7 @@
             if (!answer.mayBeRepeated()) {
                 break;
             }
-            Cluster.sleep(PAUSE);
+            pause(i + 1);
         }
         return answers;
     }
@@ -129,6 +130,12 @@
         }
     }
 
+    /** Waits before attempt {@code attempt}, twice as long each time up to a limit. */
+    private static void pause(int attempt) {
+        int doublings = Math.min(attempt - 1, MAX_DOUBLINGS);
+        Cluster.sleep(FIRST_PAUSE.multipliedBy(1L << doublings));
+    }
+
     private void streamOnce(StreamReader reader, ObjectNode body, int attempt) {
         streamAt(reader, body, entry(attempt));
     }
