--- a/daemon/src/main/java/org/catkinproxy/peer/PeerClient.java
+++ b/daemon/src/main/java/org/catkinproxy/peer/PeerClient.java
@@ -108,20 +108,11 @@
             Socket ready = mTls.isPresent() ? mTls.get().connect(socket) : socket;
             return new Connection(address, new TSocket(ready));
         } catch (IOException e) {
-            closeQuietly(socket);
+            Sockets.closeQuietly(socket);
             throw new TTransportException(TTransportException.NOT_OPEN, e);
         }
     }
 
-    private static void closeQuietly(Socket socket) {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            // Nothing was sent on it, so nothing is lost with it.
-            return;
-        }
-    }
-
     /** One call on a connection. */
     interface Call<T> {
         T on(Peer.Iface peer) throws TException;
--- a/daemon/src/main/java/org/catkinproxy/peer/PeerServer.java
+++ b/daemon/src/main/java/org/catkinproxy/peer/PeerServer.java
@@ -109,12 +109,14 @@
 
         @Override
         public TSocket accept() throws TTransportException {
+            Socket plain = null;
             try {
-                Socket plain = getServerSocket().accept();
+                plain = getServerSocket().accept();
                 plain.setTcpNoDelay(true);
                 plain.setSoTimeout(mIdleMillis);
                 return new TSocket(mTls.isPresent() ? mTls.get().accept(plain) : plain);
             } catch (IOException e) {
+                Sockets.closeQuietly(plain);
                 throw new TTransportException(e);
             }
         }
--- a/daemon/src/test/java/org/catkinproxy/configuration/FakeStore.java
+++ b/daemon/src/test/java/org/catkinproxy/configuration/FakeStore.java
@@ -13,45 +13,51 @@
 import io.reactivex.rxjava3.core.Maybe;
 import io.reactivex.rxjava3.core.Single;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
-
-/** A table and object store in memory that can be down, and can lose or refuse writes. */
-final class FakeStore implements TableService, ObjectStore {
+import java.util.NavigableMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.ConcurrentSkipListMap;
+
+/**
+ * A table and object store in memory that can be down, and can lose or refuse writes.
+ *
+ * <p>Safe for use by any thread.
+ */
+public final class FakeStore implements TableService, ObjectStore {
     /** What happens to one write. */
-    enum WriteFault {
+    public enum WriteFault {
         NONE,
         ANSWER_LOST,
         REQUEST_LOST,
         NO_CONNECTION
     }
 
-    private final TreeMap<String, TableRow> mRows = new TreeMap<>();
-    private final Map<String, byte[]> mObjects = new HashMap<>();
-    private final Deque<WriteFault> mWriteFaults = new ArrayDeque<>();
+    private final NavigableMap<String, TableRow> mRows = new ConcurrentSkipListMap<>();
+    private final Map<String, byte[]> mObjects = new ConcurrentHashMap<>();
+    private final Deque<WriteFault> mWriteFaults = new ConcurrentLinkedDeque<>();
     private Runnable mBeforeWrite = () -> {};
-    private boolean mDown;
+    private volatile boolean mDown;
 
-    void setDown(boolean down) {
+    public void setDown(boolean down) {
         mDown = down;
     }
 
-    void failWrites(WriteFault... faults) {
+    public void failWrites(WriteFault... faults) {
         mWriteFaults.addAll(List.of(faults));
     }
 
     /** Runs something once, just before the next write. */
-    void beforeNextWrite(Runnable action) {
+    public void beforeNextWrite(Runnable action) {
         mBeforeWrite = action;
     }
 
     /** Puts back rows as they were, as a replica that lags would show them. */
-    Runnable restorePoint() {
+    public Runnable restorePoint() {
         Map<String, TableRow> rows = new HashMap<>(mRows);
         return () -> {
             mRows.clear();
@@ -107,7 +113,7 @@
                 });
     }
 
-    private Single<List<Long>> transact(List<RowWrite> writes, WriteFault fault) {
+    private synchronized Single<List<Long>> transact(List<RowWrite> writes, WriteFault fault) {
         if (fault == WriteFault.NO_CONNECTION) {
             return Single.error(error(ErrorCode.STORE_UNAVAILABLE, Outcome.NOT_RUN));
         }
