Add the command-line tool

catkinctl reads and changes through the operator interface only. A request that may have reached a daemon is sent once; exit codes tell a refusal, a race, an outage, a wait that ran out and a lost answer apart, each with a sentence on what to do. burn merges the figures of all daemons.

--- /dev/null
+++ b/cli/src/main/java/org/catkinproxy/cli/BurnChart.java
@@ -0,0 +1,126 @@
+package org.catkinproxy.cli;
+
+import org.catkinproxy.burn.BurnFigures;
+import org.catkinproxy.burn.BurnObjective;
+import org.catkinproxy.burn.BurnReport;
+import org.catkinproxy.burn.WorkspaceBurn;
+import org.catkinproxy.id.WorkspaceId;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.CategoryChart;
+import org.knowm.xchart.CategoryChartBuilder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.internal.chartpart.Chart;
+import org.knowm.xchart.style.Styler;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+import java.awt.Color;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+
+/**
+ * A plot of the burn report.
+ *
+ * <p>Used by one thread.
+ */
+final class BurnChart {
+    private static final int WIDTH = 960;
+    private static final int HEIGHT = 360;
+    private static final double MAX_DRAWN_BURN = 10;
+    private static final double[] PERCENTS = {0, 10, 25, 50, 75, 90, 95, 99, 99.9, 100};
+
+    private final String mTitle;
+    private final Chart<?, ?> mChart;
+
+    private BurnChart(String title, Chart<?, ?> chart) {
+        mTitle = title;
+        mChart = chart;
+    }
+
+    /** Returns a plot for each objective, and one of the times to the first token. */
+    static List<BurnChart> all(BurnReport report) {
+        List<BurnChart> charts = new ArrayList<>();
+        if (report.rows().isEmpty()) {
+            return charts;
+        }
+        for (BurnObjective objective : BurnObjective.values()) {
+            charts.add(burn(report, objective));
+        }
+        charts.add(firstTokens(report));
+        return charts;
+    }
+
+    String title() {
+        return mTitle;
+    }
+
+    String pngBase64() {
+        try {
+            byte[] png = BitmapEncoder.getBitmapBytes(mChart, BitmapEncoder.BitmapFormat.PNG);
+            return Base64.getEncoder().encodeToString(png);
+        } catch (IOException e) {
+            throw new UncheckedIOException("drawing in memory does no I/O", e);
+        }
+    }
+
+    private static BurnChart burn(BurnReport report, BurnObjective objective) {
+        List<String> workspaces = new ArrayList<>();
+        List<Double> brief = new ArrayList<>();
+        List<Double> extended = new ArrayList<>();
+        for (WorkspaceBurn b : report.rows()) {
+            if (b.objective() == objective) {
+                workspaces.add(b.workspace().value());
+                brief.add(Math.min(b.shortBurn(), MAX_DRAWN_BURN));
+                extended.add(Math.min(b.longBurn(), MAX_DRAWN_BURN));
+            }
+        }
+        CategoryChart chart =
+                new CategoryChartBuilder()
+                        .width(WIDTH)
+                        .height(HEIGHT)
+                        .yAxisTitle("burn rate, cut at " + (int) MAX_DRAWN_BURN)
+                        .build();
+        style(chart.getStyler());
+        chart.getStyler().setAvailableSpaceFill(0.6).setYAxisMin(0.0);
+        chart.addSeries("short window", workspaces, brief);
+        chart.addSeries("long window", workspaces, extended);
+        return new BurnChart("Burn rate: " + objective.wire().replace('_', ' '), chart);
+    }
+
+    private static BurnChart firstTokens(BurnReport report) {
+        XYChart chart =
+                new XYChartBuilder()
+                        .width(WIDTH)
+                        .height(HEIGHT)
+                        .xAxisTitle("percent of requests")
+                        .yAxisTitle("ms")
+                        .build();
+        style(chart.getStyler());
+        chart.getStyler().setYAxisMin(0.0);
+        for (WorkspaceId workspace : workspaces(report)) {
+            BurnFigures figures = report.longFigures(workspace);
+            if (figures.firstTokens() == 0) {
+                continue;
+            }
+            double[] millis = new double[PERCENTS.length];
+            for (int i = 0; i < PERCENTS.length; i++) {
+                millis[i] = figures.firstTokenMillis(PERCENTS[i]);
+            }
+            chart.addSeries(workspace.value(), PERCENTS, millis).setMarker(SeriesMarkers.CIRCLE);
+        }
+        return new BurnChart("Time to first token, long window", chart);
+    }
+
+    private static List<WorkspaceId> workspaces(BurnReport report) {
+        return report.rows().stream().map(WorkspaceBurn::workspace).distinct().toList();
+    }
+
+    private static void style(Styler styler) {
+        styler.setLegendPosition(Styler.LegendPosition.OutsideE);
+        styler.setChartBackgroundColor(Color.WHITE);
+        styler.setPlotBorderVisible(false);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/catkinproxy/cli/BurnGathering.java
@@ -0,0 +1,57 @@
+package org.catkinproxy.cli;
+
+import org.catkinproxy.admin.BurnMessage;
+import org.catkinproxy.admin.InstanceView;
+import org.catkinproxy.error.CatkinException;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The service-level figures of all daemons that one of them knows.
+ *
+ * <p>Immutable, and so safe for use by any thread.
+ *
+ * @param messages the figures, one of each daemon that answered
+ * @param missing the daemons that should have answered and did not
+ */
+record BurnGathering(List<BurnMessage> messages, List<String> missing) {
+    private static final String ENTRY = "entry";
+    private static final String LEFT = "left";
+
+    /** Copies the lists. */
+    BurnGathering {
+        messages = List.copyOf(messages);
+        missing = List.copyOf(missing);
+    }
+
+    /** Asks the daemon for its figures and for the others, and those for theirs. */
+    static BurnGathering from(OperatorClient client) {
+        List<BurnMessage> messages = new ArrayList<>();
+        List<String> missing = new ArrayList<>();
+        BurnMessage first = client.get("/operator/burn", BurnMessage.class);
+        messages.add(first);
+        for (InstanceView i : client.list("/operator/instances", InstanceView.class)) {
+            boolean other = i.kind().equals(ENTRY) && !i.instance().equals(first.instance());
+            if (!other || i.state().equals(LEFT)) {
+                continue;
+            }
+            try {
+                messages.add(ask(client, i));
+            } catch (CatkinException e) {
+                missing.add(i.instance());
+            }
+        }
+        return new BurnGathering(messages, missing);
+    }
+
+    List<String> instances() {
+        return messages.stream().map(BurnMessage::instance).toList();
+    }
+
+    private static BurnMessage ask(OperatorClient client, InstanceView instance) {
+        String scheme = client.server().substring(0, client.server().indexOf("://"));
+        String base = scheme + "://" + instance.operatorAddress();
+        return client.at(base).get("/operator/burn", BurnMessage.class);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/catkinproxy/cli/BurnPage.java
@@ -0,0 +1,108 @@
+package org.catkinproxy.cli;
+
+import com.google.common.html.HtmlEscapers;
+
+import org.catkinproxy.burn.BurnReport;
+import org.catkinproxy.burn.WorkspaceBurn;
+
+import java.util.List;
+
+/**
+ * The burn report as a page that needs nothing but a browser.
+ *
+ * <p>Immutable, and so safe for use by any thread.
+ */
+final class BurnPage {
+    private static final String STYLE =
+            "body{font:15px/1.5 system-ui,sans-serif;margin:2rem auto;max-width:64rem;"
+                    + "padding:0 1rem;color:#1f2933}h1{font-size:1.5rem}h2{font-size:1.15rem;"
+                    + "margin-top:2rem}table{border-collapse:collapse;width:100%}th,td{"
+                    + "padding:.3rem .6rem;border-bottom:1px solid #d9e0e6;text-align:right}"
+                    + "th:first-child,td:first-child,th:nth-child(2),td:nth-child(2),"
+                    + "th:last-child,td:last-child{text-align:left}tr.over td{background:#fdecea}"
+                    + "img{max-width:100%;height:auto}p.lack{background:#fff4d6;padding:.5rem}";
+
+    private final BurnReport mReport;
+    private final BurnGathering mGathering;
+
+    private BurnPage(BurnReport report, BurnGathering gathering) {
+        mReport = report;
+        mGathering = gathering;
+    }
+
+    static BurnPage of(BurnReport report, BurnGathering gathering) {
+        return new BurnPage(report, gathering);
+    }
+
+    String html() {
+        StringBuilder page = new StringBuilder("<!DOCTYPE html>\n<html lang=\"en\"><head>");
+        page.append("<meta charset=\"utf-8\"><title>Service-level burn</title><style>")
+                .append(STYLE)
+                .append("</style></head><body>\n<h1>Service-level burn</h1>\n");
+        appendSources(page);
+        appendTable(page);
+        for (BurnChart chart : BurnChart.all(mReport)) {
+            page.append("<h2>")
+                    .append(escape(chart.title()))
+                    .append("</h2>\n<img alt=\"")
+                    .append(escape(chart.title()))
+                    .append("\" src=\"data:image/png;base64,")
+                    .append(chart.pngBase64())
+                    .append("\">\n");
+        }
+        return page.append("</body></html>\n").toString();
+    }
+
+    private void appendSources(StringBuilder page) {
+        page.append("<p>Merged over ")
+                .append(escape(String.join(", ", mGathering.instances())))
+                .append(
+                        ". A burn rate of 1 uses up exactly what the objective allows; rows above 1"
+                                + " over the long window are marked.</p>\n");
+        if (!mGathering.missing().isEmpty()) {
+            page.append("<p class=\"lack\">Did not answer: ")
+                    .append(escape(String.join(", ", mGathering.missing())))
+                    .append("</p>\n");
+        }
+    }
+
+    private void appendTable(StringBuilder page) {
+        page.append("<table><thead><tr>");
+        List.of(
+                        "Workspace",
+                        "Objective",
+                        "Target",
+                        "Burn, short window",
+                        "Burn, long window",
+                        "Budget left",
+                        "Bad",
+                        "Total",
+                        "Share of all bad",
+                        "Worst engine")
+                .forEach(h -> page.append("<th>").append(h).append("</th>"));
+        page.append("</tr></thead><tbody>\n");
+        mReport.rows().forEach(b -> appendRow(page, b));
+        page.append("</tbody></table>\n");
+    }
+
+    private static void appendRow(StringBuilder page, WorkspaceBurn b) {
+        page.append(b.longBurn() > 1 ? "<tr class=\"over\">" : "<tr>");
+        List.of(
+                        b.workspace().value(),
+                        b.objective().wire().replace('_', ' '),
+                        Listings.percent(b.target()),
+                        String.format("%.2f", b.shortBurn()),
+                        String.format("%.2f", b.longBurn()),
+                        String.format("%.1f%%", b.budgetLeft() * 100),
+                        Long.toString(b.bad()),
+                        Long.toString(b.total()),
+                        String.format("%.0f%%", b.shareOfAllBad() * 100),
+                        b.worstEngine())
+                .forEach(cell -> page.append("<td>").append(escape(cell)).append("</td>"));
+        page.append("</tr>\n");
+    }
+
+    private static String escape(String text) {
+        return HtmlEscapers.htmlEscaper().escape(text);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/catkinproxy/cli/CallsShowCommand.java
@@ -0,0 +1,23 @@
+package org.catkinproxy.cli;
+
+import org.catkinproxy.admin.CallView;
+import org.kohsuke.args4j.Argument;
+
+import java.util.List;
+
+/** Shows one call that may run once. Used for one run by one thread. */
+final class CallsShowCommand extends Command {
+    @Argument(index = 0, metaVar = "WORKSPACE", required = true, usage = "the workspace")
+    private String mWorkspace;
+
+    @Argument(index = 1, metaVar = "KEY", required = true, usage = "the idempotency key")
+    private String mCallKey;
+
+    @Override
+    void run(Session session) {
+        CallView call =
+                session.client()
+                        .get("/operator/calls/" + mWorkspace + "/" + mCallKey, CallView.class);
+        session.print(call, CallsListCommand.table(List.of(call)));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/catkinproxy/cli/OperatorClient.java
@@ -0,0 +1,190 @@
+package org.catkinproxy.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JavaType;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.error.Outcome;
+import org.catkinproxy.error.Step;
+
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Sends an operator's requests to the first of several daemons that takes a connection.
+ *
+ * <p>A request that may have reached a daemon is never repeated. Every failure is a {@link
+ * CatkinException}. Used by one thread.
+ */
+final class OperatorClient {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(40);
+    private static final MediaType JSON = MediaType.get("application/json");
+    private static final MediaType CSV = MediaType.get("text/csv; charset=utf-8");
+    private static final String REVISION_HEADER = "Catkin-Revision";
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    private final List<String> mServers;
+    private final String mKey;
+    private final OkHttpClient mHttp;
+
+    private OperatorClient(List<String> servers, String key, OkHttpClient http) {
+        mServers = List.copyOf(servers);
+        mKey = key;
+        mHttp = http;
+    }
+
+    /** Returns a client of the daemons at these base addresses. */
+    static OperatorClient create(List<String> servers, String key, OkHttpClient base) {
+        OkHttpClient http =
+                base.newBuilder()
+                        .retryOnConnectionFailure(false)
+                        .followRedirects(false)
+                        .connectTimeout(CONNECT_TIMEOUT)
+                        .readTimeout(CALL_TIMEOUT)
+                        .callTimeout(CALL_TIMEOUT)
+                        .build();
+        return new OperatorClient(servers, key, http);
+    }
+
+    /** Returns a client of one other daemon. */
+    OperatorClient at(String server) {
+        return new OperatorClient(List.of(server), mKey, mHttp);
+    }
+
+    /** Returns the base address of the first daemon. */
+    String server() {
+        return mServers.get(0);
+    }
+
+    <T> T get(String path, Class<T> type) {
+        return read(send("GET", path, null).body(), MAPPER.constructType(type));
+    }
+
+    <T> List<T> list(String path, Class<T> type) {
+        JavaType list = MAPPER.getTypeFactory().constructCollectionType(List.class, type);
+        return read(send("GET", path, null).body(), list);
+    }
+
+    /** Reads an accepted sheet with its revision. */
+    SheetText sheet(String path) {
+        Answer answer = send("GET", path, null);
+        return new SheetText(Long.parseLong(answer.revision()), answer.body());
+    }
+
+    <T> T postSheet(String path, String csv, Class<T> type) {
+        return post(path, RequestBody.create(csv.getBytes(StandardCharsets.UTF_8), CSV), type);
+    }
+
+    <T> T postMessage(String path, Object message, Class<T> type) {
+        try {
+            return post(path, RequestBody.create(MAPPER.writeValueAsBytes(message), JSON), type);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a record of plain values is always writable", e);
+        }
+    }
+
+    private <T> T post(String path, RequestBody body, Class<T> type) {
+        return read(send("POST", path, body).body(), MAPPER.constructType(type));
+    }
+
+    private Answer send(String method, String path, RequestBody body) {
+        CatkinException last = null;
+        for (String server : mServers) {
+            try {
+                return sendTo(server, method, path, body);
+            } catch (CatkinException e) {
+                if (e.code() != ErrorCode.PEER_UNREACHABLE || e.outcome() != Outcome.NOT_RUN) {
+                    throw e;
+                }
+                last = e;
+            }
+        }
+        throw last;
+    }
+
+    private Answer sendTo(String server, String method, String path, RequestBody body) {
+        Request request =
+                new Request.Builder()
+                        .url(server + path)
+                        .header("Authorization", "Bearer " + mKey)
+                        .method(method, body)
+                        .build();
+        try (Response response = mHttp.newCall(request).execute()) {
+            String text = response.body().string();
+            if (!response.isSuccessful()) {
+                throw error(server, response.code(), text);
+            }
+            return new Answer(text, response.header(REVISION_HEADER, "0"));
+        } catch (IOException e) {
+            boolean harmless = body == null || e instanceof ConnectException;
+            throw CatkinException.of(
+                    ErrorCode.PEER_UNREACHABLE,
+                    Step.SEND,
+                    server,
+                    harmless ? Outcome.NOT_RUN : Outcome.UNKNOWN,
+                    server + " did not answer: " + e.getMessage(),
+                    e);
+        }
+    }
+
+    private static CatkinException error(String server, int status, String text) {
+        JsonNode error;
+        try {
+            error = MAPPER.readTree(text).path("error");
+        } catch (JsonProcessingException e) {
+            error = MAPPER.missingNode();
+        }
+        ErrorCode code = code(error.path("code").asText());
+        String message = error.path("message").asText("HTTP status " + status);
+        return CatkinException.of(code, Step.SEND, server, outcome(error), message, null);
+    }
+
+    private static ErrorCode code(String wire) {
+        for (ErrorCode code : ErrorCode.values()) {
+            if (code.wire().equals(wire.toLowerCase(Locale.ROOT))) {
+                return code;
+            }
+        }
+        return ErrorCode.INTERNAL;
+    }
+
+    private static Outcome outcome(JsonNode error) {
+        for (Outcome outcome : Outcome.values()) {
+            if (outcome.wire().equals(error.path("outcome").asText())) {
+                return outcome;
+            }
+        }
+        return Outcome.UNKNOWN;
+    }
+
+    private static <T> T read(String body, JavaType type) {
+        try {
+            return MAPPER.readValue(body, type);
+        } catch (JsonProcessingException e) {
+            throw new CliException(
+                    ExitCode.FAILED, "the daemon's answer can not be read: " + e.getMessage());
+        }
+    }
+
+    /** An accepted sheet and its revision. */
+    record SheetText(long revision, String csv) {}
+
+    /** A successful answer. */
+    private record Answer(String body, String revision) {}
+}
--- /dev/null
+++ b/cli/src/main/java/org/catkinproxy/cli/SheetApplyCommand.java
@@ -0,0 +1,42 @@
+package org.catkinproxy.cli;
+
+import org.catkinproxy.admin.Accepted;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+import java.nio.file.Path;
+
+/** Has a sheet accepted. Used for one run by one thread. */
+final class SheetApplyCommand extends Command {
+    @Argument(metaVar = "FILE", required = true, usage = "the sheet, CSV")
+    private Path mFile;
+
+    @Option(
+            name = "--expect",
+            metaVar = "REVISION",
+            usage = "refuse if another revision is in force (default: the one in force now)")
+    private Long mExpect;
+
+    @Option(name = "--wait", usage = "wait until it is in force at every instance")
+    private boolean mWait;
+
+    @Override
+    void run(Session session) {
+        String csv = SheetFiles.read(mFile);
+        SheetFiles.check(session, mFile, csv);
+        OperatorClient client = session.client();
+        long expect = mExpect == null ? SheetDiffCommand.current(client).revision() : mExpect;
+        apply(session, client, csv, expect, mWait);
+    }
+
+    /** Has a sheet accepted as the revision after {@code expect}. */
+    static void apply(
+            Session session, OperatorClient client, String csv, long expect, boolean wait) {
+        Accepted accepted =
+                client.postSheet("/operator/sheet/apply?expect=" + expect, csv, Accepted.class);
+        session.print(accepted, "accepted as revision " + accepted.revision());
+        if (wait) {
+            new RevisionWait(session, client, accepted.revision()).await();
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/catkinproxy/cli/SheetCheckCommand.java
@@ -0,0 +1,19 @@
+package org.catkinproxy.cli;
+
+import org.catkinproxy.admin.SheetFaults;
+import org.kohsuke.args4j.Argument;
+
+import java.nio.file.Path;
+import java.util.List;
+
+/** Checks a sheet without a daemon. Used for one run by one thread. */
+final class SheetCheckCommand extends Command {
+    @Argument(metaVar = "FILE", required = true, usage = "the sheet, CSV")
+    private Path mFile;
+
+    @Override
+    void run(Session session) {
+        SheetFiles.check(session, mFile, SheetFiles.read(mFile));
+        session.print(new SheetFaults(List.of()), mFile + " has no faults");
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/catkinproxy/cli/SheetFiles.java
@@ -0,0 +1,40 @@
+package org.catkinproxy.cli;
+
+import org.catkinproxy.admin.SheetFaults;
+import org.catkinproxy.config.Sheet;
+import org.catkinproxy.config.SheetError;
+import org.catkinproxy.config.SheetResult;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Reads and checks sheets on this side. Stateless; thread-safe. */
+final class SheetFiles {
+    private SheetFiles() {}
+
+    static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new CliException(
+                    ExitCode.USAGE, "can not read " + file + ": " + e.getClass().getSimpleName());
+        }
+    }
+
+    /** Prints the faults of a sheet and throws if there are any. */
+    static void check(Session session, Path file, String csv) {
+        SheetResult result = Sheet.parse(csv);
+        if (result.isValid()) {
+            return;
+        }
+        TextTable table = TextTable.of("ROW", "COLUMN", "FOUND", "WANTS");
+        for (SheetError e : result.errors()) {
+            table.add(e.row(), e.column(), "'" + e.found() + "'", e.wants());
+        }
+        session.print(new SheetFaults(result.errors()), table);
+        throw new CliException(
+                ExitCode.REFUSED,
+                file + " has " + result.errors().size() + " faults. Nothing was changed.");
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/catkinproxy/cli/SheetShowCommand.java
@@ -0,0 +1,17 @@
+package org.catkinproxy.cli;
+
+import org.kohsuke.args4j.Argument;
+
+/** Prints an accepted sheet. Used for one run by one thread. */
+final class SheetShowCommand extends Command {
+    @Argument(metaVar = "REVISION", usage = "the revision (default: the one in force)")
+    private Long mRevision;
+
+    @Override
+    void run(Session session) {
+        String path = mRevision == null ? "/operator/sheet" : "/operator/sheet/" + mRevision;
+        OperatorClient.SheetText sheet = session.client().sheet(path);
+        session.progress("revision " + sheet.revision());
+        session.print(sheet, sheet.csv());
+    }
+}
