--- a/daemon/src/main/java/org/catkinproxy/caller/StreamingSink.java
+++ b/daemon/src/main/java/org/catkinproxy/caller/StreamingSink.java
@@ -122,12 +122,21 @@
         mSender.close();
     }
 
+    @Override
+    public void abandon() {
+        mGone.set(true);
+        mPings.dispose();
+    }
+
     private void writeEvent(long sequence, ObjectNode content) {
         String id = mTokens.write(mPosition.at(sequence));
         write(("id: " + id + "\ndata: " + content + "\n\n").getBytes(UTF_8));
     }
 
     private void write(byte[] bytes) {
+        if (mGone.get()) {
+            return;
+        }
         if (mPendingWrites.incrementAndGet() > MAX_PENDING_WRITES) {
             gone();
             return;
--- a/daemon/src/main/java/org/catkinproxy/caller/WholeSink.java
+++ b/daemon/src/main/java/org/catkinproxy/caller/WholeSink.java
@@ -52,4 +52,9 @@
     public void fail(CatkinException error) {
         HttpListener.fail(mContext, error);
     }
+
+    @Override
+    public void abandon() {
+        // The connection closes with the listener; a caller of a whole answer asks again.
+    }
 }
--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -64,6 +64,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
@@ -96,6 +97,7 @@
     private final StopTask mStop;
     private final HttpListener mCallers;
     private final HttpListener mOperators;
+    private final AtomicBoolean mClosed = new AtomicBoolean();
     private volatile Fleet mFleet = Fleet.of(MembershipView.EMPTY, Configuration.EMPTY);
 
     private Daemon(Settings settings) {
@@ -203,6 +205,10 @@
     /** Ends the instance at once; requests in progress are cut. */
     @Override
     public void close() {
+        if (!mClosed.compareAndSet(false, true)) {
+            return;
+        }
+        mRelay.close();
         mCallers.close();
         mOperators.close();
         mTasks.dispose();
--- a/daemon/src/main/java/org/catkinproxy/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/DaemonMain.java
@@ -8,6 +8,8 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 
+import io.reactivex.rxjava3.plugins.RxJavaPlugins;
+
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -56,6 +58,8 @@
             System.err.println(e.getMessage());
             System.exit(EXIT_SETTINGS);
         }
+        // Failures of work that nobody waits for any more.
+        RxJavaPlugins.setErrorHandler(e -> EventLog.log(LogEvent.TASK_FAILED, "none", e));
         Duration longestStop = settings.stopGrace().plus(settings.entriesTtl());
         Daemon daemon = Daemon.start(settings);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, longestStop), "stop"));
--- a/daemon/src/main/java/org/catkinproxy/relay/AnswerSink.java
+++ b/daemon/src/main/java/org/catkinproxy/relay/AnswerSink.java
@@ -9,7 +9,7 @@
  *
  * <p>Called by one thread at a time, in order: {@link #begin} once for each engine that takes part,
  * then tokens, and last exactly one of {@link #complete} and {@link #fail}, unless the caller left
- * before. Must not block.
+ * or the instance ended before. Must not block.
  */
 public interface AnswerSink {
     /** An engine began to answer, or went on with the answer. */
@@ -23,4 +23,7 @@
 
     /** The answer will not be whole. */
     void fail(CatkinException error);
+
+    /** The instance ends; nothing more is to be sent, so that the caller goes on elsewhere. */
+    void abandon();
 }
--- a/daemon/src/main/java/org/catkinproxy/relay/Relay.java
+++ b/daemon/src/main/java/org/catkinproxy/relay/Relay.java
@@ -8,22 +8,23 @@
 
 import io.reactivex.rxjava3.core.Scheduler;
 
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 
 /**
- * Starts a task for each request and counts those in progress.
+ * Makes a task for each request and knows those in progress.
  *
  * <p>Safe for use by any thread.
  */
-public final class Relay {
+public final class Relay implements AutoCloseable {
     private final DispatchTask mDispatch;
     private final EngineFleet mFleet;
     private final EngineClient mClient;
     private final Scheduler mScheduler;
     private final RelayObserver mObserver;
     private final LongSupplier mClock;
-    private final AtomicInteger mInProgress = new AtomicInteger();
+    private final Set<RelayTask> mInProgress = ConcurrentHashMap.newKeySet();
 
     private Relay(
             DispatchTask dispatch,
@@ -71,6 +72,12 @@
 
     /** Returns how many answers are on their way. */
     public int inProgress() {
-        return mInProgress.get();
+        return mInProgress.size();
+    }
+
+    /** Ends all tasks without a word to callers or engines, which can go on without this router. */
+    @Override
+    public void close() {
+        mInProgress.forEach(RelayTask::abandon);
     }
 }
--- a/daemon/src/main/java/org/catkinproxy/relay/RelayTask.java
+++ b/daemon/src/main/java/org/catkinproxy/relay/RelayTask.java
@@ -24,7 +24,7 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
@@ -41,7 +41,7 @@
     private final EngineFleet mFleet;
     private final EngineClient mClient;
     private final RelayTimes mTimes;
-    private final AtomicInteger mInProgress;
+    private final Set<RelayTask> mInProgress;
     private final StreamMachine mMachine;
     private final SerialDisposable mConnection = new SerialDisposable();
     private final Mailbox<Supplier<List<StreamAction>>> mMailbox;
@@ -55,7 +55,7 @@
             EngineClient client,
             Scheduler scheduler,
             RelayTimes times,
-            AtomicInteger inProgress) {
+            Set<RelayTask> inProgress) {
         mRequest = request;
         mSink = sink;
         mDispatch = dispatch;
@@ -79,13 +79,13 @@
             EngineClient client,
             Scheduler scheduler,
             RelayTimes times,
-            AtomicInteger inProgress) {
+            Set<RelayTask> inProgress) {
         return new RelayTask(request, sink, dispatch, fleet, client, scheduler, times, inProgress);
     }
 
     /** Begins to relay; called once. */
     public void start() {
-        mInProgress.incrementAndGet();
+        mInProgress.add(this);
         mMailbox.post(this::firstActions);
     }
 
@@ -101,6 +101,17 @@
                 });
     }
 
+    /** Ends the task without a word to the caller or the engine. */
+    void abandon() {
+        mMailbox.post(
+                () -> {
+                    mConnection.set(Disposable.disposed());
+                    mSink.abandon();
+                    end();
+                    return List.of();
+                });
+    }
+
     private void post(StreamEvent event) {
         mMailbox.post(() -> mMachine.handle(event));
     }
@@ -214,7 +225,7 @@
     private void end() {
         if (!mEnded) {
             mEnded = true;
-            mInProgress.decrementAndGet();
+            mInProgress.remove(this);
             mMailbox.dispose();
         }
     }
--- a/daemon/src/main/java/org/catkinproxy/upstream/HttpEngineClient.java
+++ b/daemon/src/main/java/org/catkinproxy/upstream/HttpEngineClient.java
@@ -106,7 +106,15 @@
     public Completable cancel(EngineEndpoint endpoint, RequestId request) {
         HttpUrl url = url(endpoint, "v1", "generate", request.value()).build();
         Request delete = new Request.Builder().url(url).delete().build();
-        return Completable.fromAction(() -> mControl.newCall(delete).execute().close())
+        return Completable.create(
+                        emitter -> {
+                            try {
+                                mControl.newCall(delete).execute().close();
+                                emitter.onComplete();
+                            } catch (IOException e) {
+                                emitter.tryOnError(unreachable(endpoint, e));
+                            }
+                        })
                 .subscribeOn(Schedulers.io());
     }
 
@@ -195,7 +203,16 @@
 
     private Single<JsonNode> get(EngineEndpoint endpoint, String... segments) {
         Request request = new Request.Builder().url(url(endpoint, segments).build()).build();
-        return Single.fromCallable(() -> execute(endpoint, request)).subscribeOn(Schedulers.io());
+        return Single.<JsonNode>create(
+                        emitter -> {
+                            try {
+                                emitter.onSuccess(execute(endpoint, request));
+                            } catch (CatkinException e) {
+                                // Nobody listens any more once the engine is not watched.
+                                emitter.tryOnError(e);
+                            }
+                        })
+                .subscribeOn(Schedulers.io());
     }
 
     private JsonNode execute(EngineEndpoint endpoint, Request request) {
