--- a/bench/src/main/java/org/catkinproxy/demo/Cluster.java
+++ b/bench/src/main/java/org/catkinproxy/demo/Cluster.java
@@ -13,6 +13,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /**
  * Stand-ins and daemons as processes of their own, listed in the stand-in's instance list.
@@ -187,6 +189,8 @@
                                 address,
                                 "--platform",
                                 mPlatform.url(),
+                                "--weights",
+                                preloadedWeights(),
                                 "--slots",
                                 Integer.toString(spec.slots()),
                                 "--cache-blocks",
@@ -201,6 +205,12 @@
         return standin(id, "engine", address, spec.pool(), arguments);
     }
 
+    private String preloadedWeights() {
+        return IntStream.rangeClosed(1, mOptions.preloaded())
+                .mapToObj(v -> DemoSheet.MODEL + "/" + DemoSheet.ADAPTER + "/v" + v)
+                .collect(Collectors.joining(","));
+    }
+
     private Member startService(String id) {
         String address = nextAddress();
         return standin(id, "service", address, "desk", List.of("service", "--listen", address));
--- a/bench/src/main/java/org/catkinproxy/demo/ClusterOptions.java
+++ b/bench/src/main/java/org/catkinproxy/demo/ClusterOptions.java
@@ -14,6 +14,7 @@
  * @param engines the engines
  * @param services how many instances of the plain service
  * @param listLagMs how late the instance list is, in milliseconds
+ * @param preloaded how many versions of the weights, from v1 on, engines have at the start
  */
 public record ClusterOptions(
         Path directory,
@@ -21,7 +22,8 @@
         int daemons,
         List<EngineSpec> engines,
         int services,
-        int listLagMs) {
+        int listLagMs,
+        int preloaded) {
     /** The first port that is tried if none is given. */
     public static final int DEFAULT_BASE_PORT = 18_000;
 
@@ -31,7 +33,7 @@
     }
 
     /** Returns three daemons, four engines of different speeds in two pools, and two services. */
-    public static ClusterOptions small(Path directory, int basePort) {
+    public static ClusterOptions small(Path directory, int basePort, int preloaded) {
         return new ClusterOptions(
                 directory,
                 basePort,
@@ -42,6 +44,7 @@
                         new EngineSpec("gpu-a", 4, 64, 5_000, 40, true),
                         new EngineSpec("gpu-b", 8, 256, 15_000, 80, false)),
                 2,
-                500);
+                500,
+                preloaded);
     }
 }
