Do not condemn a restarted instance for an earlier start's row in the lagging list

Cause: a row that says leaving names no incarnation. A list that still meant the earlier start made the later one's leaving sticky everywhere, and made the new daemon stop itself at once. Now only a change of the list from live to leaving is news that sticks; a list that says so from the start counts as long as it says it. The test of leaveOfUnheardInstance begins with a live row for that reason, and listThatStillMeansAnEarlierStart covers the fault. A daemon stops itself only if it was live before.

The revision machine now also waits up to its isolation time for content that it knows to exist before it serves under an older revision.

--- a/core/src/main/java/org/catkinproxy/member/Membership.java
+++ b/core/src/main/java/org/catkinproxy/member/Membership.java
@@ -141,10 +141,13 @@
         }
         for (MembershipEvent.Listing listing : listings) {
             Record record = record(listing.info().id());
+            // A list that says so from the start may mean an earlier start of the instance: it
+            // counts as long as the list says it, and only a change of the list is news.
+            boolean news = listing.leaving() && record.mInfo != null && !record.mListedAsLeaving;
             record.mInfo = listing.info();
             record.mListedMillis = mNow;
             record.mListedAsLeaving = listing.leaving();
-            if (listing.leaving()) {
+            if (news) {
                 leave(listing.info().id());
             }
         }
--- a/core/src/main/java/org/catkinproxy/revision/RevisionMachine.java
+++ b/core/src/main/java/org/catkinproxy/revision/RevisionMachine.java
@@ -227,7 +227,10 @@
             boolean known = mSync.isEnough(Math.min(mSettings.syncPeers(), mPeers.size()));
             boolean caughtUp = newestKnown().equals(revisionInForce());
             boolean done = known && caughtUp;
-            boolean outOfTime = mSync.isOver(now) && (mSync.isHeard() || !mightBeHeard());
+            boolean silent = !mSync.isHeard() && mightBeHeard();
+            // Content that nobody can give must not stop all instances for good.
+            boolean patient = !caughtUp && !mSync.isOver(now - mSettings.isolationMillis());
+            boolean outOfTime = mSync.isOver(now) && !silent && !patient;
             if (done || outOfTime) {
                 mSync = null;
                 mLastHeard = now;
--- a/core/src/test/java/org/catkinproxy/member/MembershipTest.java
+++ b/core/src/test/java/org/catkinproxy/member/MembershipTest.java
@@ -48,6 +48,7 @@
 
     @Example
     void leaveOfUnheardInstanceBindsToTheStartHeardNext() {
+        list(false);
         list(true);
         answer(FIRST);
         list(false);
@@ -56,6 +57,18 @@
         assertThat(isUsable()).isTrue();
     }
 
+    @Example
+    void listThatStillMeansAnEarlierStartCondemnsNoLaterOne() {
+        list(true);
+        answer(SECOND);
+        assertThat(isUsable()).isFalse();
+        list(false);
+        assertThat(isUsable()).isTrue();
+        list(true);
+        list(false);
+        assertThat(isUsable()).isFalse();
+    }
+
     @Example
     void newsOfPeersCountsAtOnceAndIsPassedOn() {
         list(false);
--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -96,6 +96,7 @@
     private final StopTask mStop;
     private final HttpListener mCallers;
     private final HttpListener mOperators;
+    private volatile boolean mWasLive;
     private volatile Fleet mFleet = Fleet.of(MembershipView.EMPTY, Configuration.EMPTY);
 
     private Daemon(Settings settings) {
@@ -244,9 +245,19 @@
         mDispatch.tell(new RouteEvent.SharesChanged(shares));
     }
 
-    /** The platform, an operator at any instance or a peer may have said that this one leaves. */
+    /**
+     * The platform, an operator at any instance or a peer may have said that this one leaves.
+     *
+     * <p>A list that lags may still mean an earlier start, so this one must have been live first.
+     */
     private void stopIfLeaving(MembershipView view) {
-        if (view.find(mSettings.instance()).map(MemberState::leaving).orElse(false)) {
+        Optional<MemberState> self = view.find(mSettings.instance());
+        if (self.isEmpty()) {
+            return;
+        }
+        if (!self.get().leaving()) {
+            mWasLive = true;
+        } else if (mWasLive) {
             mStop.stop();
         }
     }
