--- a/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
+++ b/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
@@ -13,6 +13,7 @@
     DAEMON_STARTED(101, Level.INFO, "instance {} serves callers on {}"),
     DAEMON_STOPPED(102, Level.INFO, "instance {} stopped"),
     TASK_FAILED(103, Level.ERROR, "task {} failed on a message: {}"),
+    STOP_CUT_SHORT(104, Level.WARN, "the stop took longer than {}; open requests are cut"),
     // 200: callers and streams
     REQUEST_REFUSED(201, Level.INFO, "request {} refused: {}"),
     STREAM_CONTINUED(202, Level.WARN, "request {} continues after token {} on engine {}: {}"),
@@ -35,11 +36,18 @@
     CONFIGURATION_NOT_FRESH(404, Level.WARN, "revision {} may be out of date: no new requests"),
     // 500: peers and membership
     PEER_FAILED(501, Level.DEBUG, "instance {} did not answer: {}"),
+    PEER_SERVER_FAILED(502, Level.ERROR, "the listener for peers failed: {}"),
+    STOP_STEP(510, Level.INFO, "planned stop: {}"),
+    STOP_NOT_TOLD(511, Level.WARN, "planned stop: a peer was not told at once: {}"),
     // 600: orders and leases
     // 700: platform
     STORE_FAILED(701, Level.WARN, "store did not answer {}: {}"),
-// 800: operators
-;
+    // 800: operators
+    OPERATOR_REFUSED(801, Level.WARN, "operator request {} refused: {}"),
+    STOP_REQUESTED(802, Level.INFO, "operator {} asked for a planned stop of {}"),
+    TLS_RELOADED(803, Level.INFO, "keys of the {} listener were read again"),
+    TLS_RELOAD_FAILED(804, Level.ERROR, "keys of the {} listener stay as they were: {}"),
+    ;
 
     private final int mNumber;
     private final Level mLevel;
--- a/daemon/src/main/java/org/catkinproxy/upstream/EngineMonitor.java
+++ b/daemon/src/main/java/org/catkinproxy/upstream/EngineMonitor.java
@@ -10,6 +10,7 @@
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.disposables.Disposable;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -29,29 +30,39 @@
     private final EngineClient mClient;
     private final EngineEndpoint mEndpoint;
     private final Consumer<RouteEvent> mEvents;
+    private final Consumer<EngineReport> mReports;
     private final CompositeDisposable mWork = new CompositeDisposable();
     private final AtomicLong mLastSequence = new AtomicLong();
     private final AtomicLong mFailures = new AtomicLong();
     private final AtomicBoolean mSnapshotRunning = new AtomicBoolean();
+    private volatile SeenReport mLastReport;
 
     private EngineMonitor(
-            EngineClient client, EngineEndpoint endpoint, Consumer<RouteEvent> events) {
+            EngineClient client,
+            EngineEndpoint endpoint,
+            Consumer<RouteEvent> events,
+            Consumer<EngineReport> reports) {
         mClient = client;
         mEndpoint = endpoint;
         mEvents = events;
+        mReports = reports;
     }
 
     /** Begins to watch an engine. */
     static EngineMonitor start(
-            EngineClient client, EngineEndpoint endpoint, Consumer<RouteEvent> events) {
-        EngineMonitor monitor = new EngineMonitor(client, endpoint, events);
+            EngineClient client,
+            EngineEndpoint endpoint,
+            Consumer<RouteEvent> events,
+            Consumer<EngineReport> reports) {
+        EngineMonitor monitor = new EngineMonitor(client, endpoint, events, reports);
         monitor.mWork.add(monitor.watchLoad());
         monitor.mWork.add(monitor.watchCache());
         return monitor;
     }
 
-    EngineEndpoint endpoint() {
-        return mEndpoint;
+    /** Returns the last load report, if one has come. */
+    Optional<SeenReport> lastReport() {
+        return Optional.ofNullable(mLastReport);
     }
 
     /** Fetches a snapshot of the cache, unless that is under way. */
@@ -102,15 +113,19 @@
     }
 
     private void onLoad(EngineReport report) {
+        mLastReport = new SeenReport(report, System.nanoTime(), true);
         if (mFailures.getAndSet(0) >= LOST_AFTER_FAILURES) {
             EventLog.log(LogEvent.ENGINE_BACK, engine());
             mEvents.accept(new RouteEvent.Available(engine()));
         }
         mEvents.accept(new RouteEvent.Reported(report));
+        mReports.accept(report);
     }
 
     private void onLoadFailed() {
         if (mFailures.incrementAndGet() == LOST_AFTER_FAILURES) {
+            SeenReport last = mLastReport;
+            mLastReport = last == null ? null : last.asSilent();
             EventLog.log(LogEvent.ENGINE_LOST, engine());
             mEvents.accept(new RouteEvent.Unavailable(engine()));
         }
