--- a/core/src/main/java/org/catkinproxy/order/LeaseMachine.java
+++ b/core/src/main/java/org/catkinproxy/order/LeaseMachine.java
@@ -52,6 +52,9 @@
     private long mRenewedAt;
     private long mHeldSince;
 
+    /** Whether an engine refused the number, so that a higher one is needed. */
+    private boolean mSuperseded;
+
     private LeaseMachine(InstanceId self, String session, Duration ttl) {
         mSelf = checkNotNull(self, "self");
         mSession = checkNotNull(session, "session");
@@ -82,6 +85,7 @@
         }
         if (event instanceof LeaseEvent.Superseded) {
             mHolding = Optional.empty();
+            mSuperseded = true;
             return Optional.empty();
         }
         mBusy = false;
@@ -112,8 +116,7 @@
             mSeenSince = now;
         }
         if (isOwn(found.row())) {
-            adopt(found, now);
-            return write(found.version(), found.row().number(), now);
+            return renew(found, now);
         }
         mHolding = Optional.empty();
         if (now - mSeenSince < mTtlNanos) {
@@ -123,12 +126,17 @@
     }
 
     /** The row is the own one, perhaps by a write whose answer was lost. */
-    private void adopt(StoredLease found, long now) {
+    private Optional<LeaseAction> renew(StoredLease found, long now) {
+        FencingNumber number = found.row().number();
+        if (mSuperseded) {
+            return write(found.version(), number.next(), now);
+        }
         // An earlier write than the last may have landed long before the last was issued.
         boolean isLast = mWritten.filter(found.row()::equals).isPresent();
         if (isLast) {
             hold(found, now);
         }
+        return write(found.version(), number, now);
     }
 
     private void hold(StoredLease stored, long now) {
@@ -138,6 +146,7 @@
             mHeldSince = now;
         }
         mHolding = Optional.of(stored);
+        mSuperseded = false;
         mRenewedAt = mIssuedAt;
     }
 
--- a/core/src/test/java/org/catkinproxy/order/LeaseMachineTest.java
+++ b/core/src/test/java/org/catkinproxy/order/LeaseMachineTest.java
@@ -58,7 +58,7 @@
     }
 
     @Example
-    void supersededHolderStopsActing() {
+    void supersededHolderStopsActingUntilItHasHigherNumber() {
         LeaseMachine machine =
                 LeaseMachine.of(InstanceId.of("r"), "s", Duration.ofMillis(TTL_MILLIS));
         machine.handle(new LeaseEvent.Tick(), 0);
@@ -66,6 +66,17 @@
         machine.handle(new LeaseEvent.Written(1), 0);
         machine.handle(new LeaseEvent.Superseded(), 0);
         assertThat(machine.held(0)).isEmpty();
+        LeaseRow own = new LeaseRow(InstanceId.of("r"), "s", FencingNumber.of(1), 1);
+        LeaseAction.WriteRow write =
+                (LeaseAction.WriteRow)
+                        machine.handle(
+                                        new LeaseEvent.RowRead(
+                                                Optional.of(new StoredLease(1, own))),
+                                        0)
+                                .get();
+        assertThat(write.row().number()).isEqualTo(FencingNumber.of(2));
+        machine.handle(new LeaseEvent.Written(2), 0);
+        assertThat(machine.held(0)).hasValue(FencingNumber.of(2));
     }
 
     /** Three contenders, the last of which may have a time to live of its own. */
--- a/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
+++ b/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
@@ -40,6 +40,10 @@
     STOP_STEP(510, Level.INFO, "planned stop: {}"),
     STOP_NOT_TOLD(511, Level.WARN, "planned stop: a peer was not told at once: {}"),
     // 600: orders and leases
+    LEASE_HELD(601, Level.INFO, "holds the lease of pool {} with fencing number {}"),
+    LEASE_LOST(602, Level.WARN, "no longer holds the lease of pool {} with fencing number {}"),
+    ORDER_GIVEN(603, Level.INFO, "orders {} of {} at engine {} with fencing number {}"),
+    ORDER_FAILED(604, Level.WARN, "an order to pool {} failed: {}"),
     // 700: platform
     STORE_FAILED(701, Level.WARN, "store did not answer {}: {}"),
     // 800: operators
--- a/daemon/src/test/java/org/catkinproxy/calls/FakeTables.java
+++ b/daemon/src/test/java/org/catkinproxy/calls/FakeTables.java
@@ -20,9 +20,9 @@
 import java.util.TreeMap;
 
 /** A table service and object store in memory, with faults. All state is under one lock. */
-final class FakeTables implements TableService, ObjectStore {
+public final class FakeTables implements TableService, ObjectStore {
     /** What happens to the next writes. */
-    enum Fault {
+    public enum Fault {
         NONE,
         /** Reads and writes fail, and nothing takes effect. */
         DOWN,
@@ -40,13 +40,13 @@
     private int mFaultsLeft;
 
     /** Lets {@code skip} writes through, and shows the fault at the next {@code times}. */
-    synchronized void fault(Fault fault, int skip, int times) {
+    public synchronized void fault(Fault fault, int skip, int times) {
         mFault = fault;
         mWritesToSkip = skip;
         mFaultsLeft = times;
     }
 
-    synchronized void mend() {
+    public synchronized void mend() {
         mFault = Fault.NONE;
     }
 
