--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import org.catkinproxy.calls.CallAdmin;
 import org.catkinproxy.calls.CallRunner;
 import org.catkinproxy.calls.CallSettings;
+import org.catkinproxy.calls.CallSweeper;
 import org.catkinproxy.config.Configuration;
 import org.catkinproxy.config.Workspace;
 import org.catkinproxy.configuration.ConfigTask;
@@ -32,6 +33,9 @@
 import org.catkinproxy.operator.OperatorKeys;
 import org.catkinproxy.operator.OperatorPorts;
 import org.catkinproxy.operator.OperatorRoutes;
+import org.catkinproxy.orders.HttpEngineControl;
+import org.catkinproxy.orders.OrderSettings;
+import org.catkinproxy.orders.OrderTask;
 import org.catkinproxy.peer.PeerHooks;
 import org.catkinproxy.peer.PeerLink;
 import org.catkinproxy.peer.PeerTimeouts;
@@ -92,6 +96,8 @@
     private final RouterHooks mHooks;
     private final PeerLink mPeers;
     private final CallRunner mCalls;
+    private final CallSweeper mCallSweeper;
+    private final OrderTask mOrders;
     private final Relay mRelay;
     private final StopTask mStop;
     private final HttpListener mCallers;
@@ -139,6 +145,7 @@
                         Ticker.systemTicker(),
                         SpreadSettings.DEFAULT,
                         new SplittableRandom());
+        OkHttpServiceClient serviceClient = OkHttpServiceClient.create();
         mCalls =
                 CallRunner.create(
                         new CallSettings(
@@ -147,7 +154,15 @@
                                 CallSettings.DEFAULT_RETENTION),
                         platform.table(),
                         platform.objects(),
-                        OkHttpServiceClient.create());
+                        serviceClient);
+        mCallSweeper =
+                CallSweeper.start(
+                        platform.table(),
+                        platform.objects(),
+                        serviceClient,
+                        new ConfiguredServices(mConfig::current, pool -> mFleet.instances(pool)),
+                        CallSweeper.DEFAULT_PERIOD);
+        mOrders = startOrders(platform);
         mStop = createStop();
         mPeers.serve(settings.peers(), new InForce(), mConfig.changes());
         mCallers = listen(settings.callers(), callerApi()::accept);
@@ -210,6 +225,8 @@
         mHooks.dispose();
         mEngines.close();
         mDispatch.dispose();
+        mOrders.dispose();
+        mCallSweeper.dispose();
         mCalls.dispose();
         mConfig.dispose();
         mPeers.dispose();
@@ -274,6 +291,18 @@
                 mSettings.peers());
     }
 
+    private OrderTask startOrders(Platform platform) {
+        OrderSettings orders = OrderSettings.defaults(mSettings.instance());
+        return OrderTask.start(
+                orders,
+                platform.table(),
+                HttpEngineControl.create(orders.orderTimeout()),
+                () -> mConfig.isFresh() ? mConfig.current() : Configuration.EMPTY,
+                pool -> mFleet.orderTargets(pool),
+                Schedulers.computation(),
+                System::nanoTime);
+    }
+
     private StopTask createStop() {
         StopSettings defaults = StopSettings.DEFAULT;
         return StopTask.create(
--- a/daemon/src/main/java/org/catkinproxy/daemon/Fleet.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Fleet.java
@@ -9,6 +9,7 @@
 import org.catkinproxy.member.InstanceKind;
 import org.catkinproxy.member.MemberState;
 import org.catkinproxy.member.MembershipView;
+import org.catkinproxy.orders.OrderTarget;
 import org.catkinproxy.upstream.EngineEndpoint;
 
 import java.util.ArrayList;
@@ -39,6 +40,14 @@
         return mEngines;
     }
 
+    /** Returns the engines of a pool that may be given orders: those that are not leaving. */
+    List<OrderTarget> orderTargets(PoolId pool) {
+        return mEngines.stream()
+                .filter(e -> e.pool().equals(pool) && !e.leaving())
+                .map(e -> new OrderTarget(e.engine(), e.address()))
+                .toList();
+    }
+
     @Override
     public List<ServiceInstance> instances(PoolId pool) {
         return mServices.getOrDefault(pool, List.of());
