Count service levels and metrics, and serve them to operators

Relays report how each request ended; service levels keep it in rolling windows by workspace and engine with a bounded number of cells, and metrics in Prometheus text with bounded labels.

--- a/core/src/main/java/org/catkinproxy/error/ErrorCode.java
+++ b/core/src/main/java/org/catkinproxy/error/ErrorCode.java
@@ -41,6 +41,8 @@
     STALE_ORDER(409, "the order carries an old fencing number"),
     INTERNAL(500, "the daemon failed");
 
+    private static final int FIRST_SERVER_ERROR = 500;
+
     private final int mHttpStatus;
     private final String mMeaning;
 
@@ -59,6 +61,11 @@
         return mMeaning;
     }
 
+    /** Tells whether the error counts against the service level: the caller could not avoid it. */
+    public boolean isDaemonsFault() {
+        return mHttpStatus >= FIRST_SERVER_ERROR;
+    }
+
     /** Returns the spelling used in error bodies and logs. */
     public String wire() {
         return name().toLowerCase(Locale.ROOT);
--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -29,6 +29,9 @@
 import org.catkinproxy.membership.StopTask;
 import org.catkinproxy.observe.EventLog;
 import org.catkinproxy.observe.LogEvent;
+import org.catkinproxy.observe.Metrics;
+import org.catkinproxy.observe.ServiceLevels;
+import org.catkinproxy.operator.FleetView;
 import org.catkinproxy.operator.OperatorKeys;
 import org.catkinproxy.operator.OperatorPorts;
 import org.catkinproxy.operator.OperatorRoutes;
@@ -36,7 +39,6 @@
 import org.catkinproxy.peer.PeerLink;
 import org.catkinproxy.peer.PeerTimeouts;
 import org.catkinproxy.relay.Relay;
-import org.catkinproxy.relay.RelayObserver;
 import org.catkinproxy.revision.AcceptedSheet;
 import org.catkinproxy.revision.SpreadSettings;
 import org.catkinproxy.route.EngineReport;
@@ -85,6 +87,8 @@
     private final CompositeDisposable mTasks = new CompositeDisposable();
     private final ActiveRequests mActive = new ActiveRequests();
     private final Gate mGate = new CallerGate();
+    private final Metrics mMetrics = Metrics.create();
+    private final ServiceLevels mLevels;
     private final MembershipTask mMembership;
     private final ConfigTask mConfig;
     private final EngineFleet mEngines;
@@ -100,6 +104,12 @@
 
     private Daemon(Settings settings) {
         mSettings = settings;
+        mLevels =
+                ServiceLevels.create(
+                        settings.instance(),
+                        settings.burnWindows().shortWindow(),
+                        settings.burnWindows().longWindow(),
+                        System::nanoTime);
         Platform platform = Platform.of(settings.platform());
         mMembership =
                 MembershipTask.create(
@@ -124,7 +134,7 @@
                         mEngines,
                         engineClient,
                         Schedulers.computation(),
-                        RelayObserver.NONE,
+                        new RelayMeasures(mMetrics, mLevels),
                         System::nanoTime);
         mHooks =
                 RouterHooks.start(
@@ -308,28 +318,27 @@
     }
 
     private OperatorRoutes operatorRoutes(CallAdmin calls) {
+        FleetView fleet =
+                new LocalFleetView(mSettings, mGate, mMembership, mEngines, this::openRequests);
+        FleetGauges.add(mMetrics, fleet);
         return OperatorRoutes.create(
                 OperatorKeys.of(mSettings.operatorDigests()),
                 new OperatorPorts(
-                        new LocalFleetView(
-                                mSettings, mGate, mMembership, mEngines, this::openRequests),
+                        fleet,
                         new ConfigSheets(mConfig, this::revisions),
                         new CallTableAdmin(calls),
                         new MembershipStops(mMembership, mEngines),
                         new DispatchExplainer(
                                 mConfig::current, mDispatch, mSettings.dispatch().policy()),
                         this::burn,
-                        () -> ""));
+                        mMetrics::scrape));
     }
 
     private BurnMessage burn() {
-        return new BurnMessage(
-                mSettings.instance().value(),
-                mConfig.current().revision().value(),
+        return BurnMessage.of(
+                mLevels.snapshot(mConfig.current()),
                 mSettings.burnWindows().shortWindow().toMillis(),
-                mSettings.burnWindows().longWindow().toMillis(),
-                Map.of(),
-                List.of());
+                mSettings.burnWindows().longWindow().toMillis());
     }
 
     private List<RevisionView> revisions() {
