--- a/core/src/test/java/org/catkinproxy/call/CallWorld.java
+++ b/core/src/test/java/org/catkinproxy/call/CallWorld.java
@@ -68,6 +68,9 @@
             } else if (!mPending.isEmpty()) {
                 mPending.remove(mRandom.nextInt(mPending.size())).run();
             }
+            if (mRandom.nextInt(50) == 0) {
+                sweep();
+            }
         }
     }
 
@@ -108,6 +111,20 @@
         return mReplyCount;
     }
 
+    /** Records an open call from the service's account, as routers do now and then. */
+    private void sweep() {
+        mRow =
+                mRow.filter(r -> r.record().state() == CallState.CLAIMED)
+                        .flatMap(
+                                r ->
+                                        mServiceAnswer.map(
+                                                a ->
+                                                        new StoredCall(
+                                                                r.version() + 1,
+                                                                r.record().done(a))))
+                        .or(() -> mRow);
+    }
+
     private boolean fault() {
         return mRandom.nextDouble() < mFaultRate;
     }
--- a/daemon/src/main/java/org/catkinproxy/calls/CallRunner.java
+++ b/daemon/src/main/java/org/catkinproxy/calls/CallRunner.java
@@ -17,6 +17,9 @@
 import org.catkinproxy.platform.TableService;
 import org.catkinproxy.service.ServiceClient;
 
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Observable;
+import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
@@ -25,6 +28,7 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -38,13 +42,16 @@
     /** How many callers may wait for calls that run at most once. */
     private static final int MAX_WAITING = 4_096;
 
+    private static final long DRAIN_POLL_MILLIS = 50;
+
     private final CallSettings mSettings;
     private final CallReceipt mReceipts;
     private final IdempotentCalls mIdempotent;
     private final CallTask mTask;
     private final AtomicInteger mWaiting = new AtomicInteger();
 
-    private CallRunner(CallSettings settings, CallTable table, ServiceClient services) {
+    private CallRunner(
+            CallSettings settings, CallTable table, ServiceClient services, Scheduler scheduler) {
         mSettings = settings;
         mReceipts = CallReceipt.withKey(settings.receiptKey());
         mIdempotent = new IdempotentCalls(services, CallRunner::newAttempt, System::nanoTime);
@@ -53,7 +60,7 @@
                         table,
                         services,
                         mReceipts,
-                        Schedulers.computation(),
+                        scheduler,
                         () -> ThreadLocalRandom.current().nextDouble());
     }
 
@@ -63,11 +70,21 @@
             TableService tables,
             ObjectStore objects,
             ServiceClient services) {
+        return create(settings, tables, objects, services, Schedulers.computation());
+    }
+
+    /** Makes a runner whose attempts live on the given scheduler, its clock included. */
+    static CallRunner create(
+            CallSettings settings,
+            TableService tables,
+            ObjectStore objects,
+            ServiceClient services,
+            Scheduler scheduler) {
         checkNotNull(settings, "settings");
         checkNotNull(tables, "tables");
         checkNotNull(objects, "objects");
         checkNotNull(services, "services");
-        return new CallRunner(settings, new CallTable(tables, objects), services);
+        return new CallRunner(settings, new CallTable(tables, objects), services, scheduler);
     }
 
     /** Runs a call; the result never fails, and disposing of it does not cancel the call. */
@@ -92,6 +109,18 @@
         return mWaiting.get();
     }
 
+    /**
+     * Completes when no attempt goes on any more, so that nothing is left to record or release.
+     *
+     * <p>While the store is down this takes as long as the outage.
+     */
+    public Completable drained() {
+        return Observable.interval(0, DRAIN_POLL_MILLIS, TimeUnit.MILLISECONDS)
+                .filter(tick -> mTask.openAttempts() == 0)
+                .firstOrError()
+                .ignoreElement();
+    }
+
     @Override
     public void dispose() {
         mTask.dispose();
--- a/daemon/src/main/java/org/catkinproxy/calls/CallTask.java
+++ b/daemon/src/main/java/org/catkinproxy/calls/CallTask.java
@@ -30,6 +30,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -48,6 +49,7 @@
     private final Scheduler mScheduler;
     private final DoubleSupplier mRandom;
     private final Map<AttemptId, OpenCall> mOpen = new HashMap<>();
+    private final AtomicInteger mOpenCount = new AtomicInteger();
     private final Mailbox<Message> mMailbox;
 
     CallTask(
@@ -67,10 +69,16 @@
     /** Begins an attempt; the result comes even if nobody waits for it. */
     Single<CallResult> open(ServiceCall call, CallRequest request, CallKey key) {
         OpenCall open = new OpenCall(call, request, key);
+        mOpenCount.incrementAndGet();
         mMailbox.post(new Message(open, Optional.empty()));
         return open.mResult;
     }
 
+    /** Returns how many attempts go on, also those whose callers have been told something. */
+    int openAttempts() {
+        return mOpenCount.get();
+    }
+
     @Override
     public void dispose() {
         mMailbox.dispose();
@@ -232,7 +240,9 @@
 
     private void end(OpenCall call) {
         call.mDeadline.dispose();
-        mOpen.remove(call.attempt());
+        if (mOpen.remove(call.attempt()) != null) {
+            mOpenCount.decrementAndGet();
+        }
     }
 
     private Disposable schedule(OpenCall call, Duration delay, CallEvent event) {
--- a/daemon/src/main/java/org/catkinproxy/calls/ServiceDirectory.java
+++ b/daemon/src/main/java/org/catkinproxy/calls/ServiceDirectory.java
@@ -9,6 +9,6 @@
     /** Returns the live instances of a service, in any order. */
     List<ServiceInstance> instances(ServiceId service);
 
-    /** Tells whether one workspace alone calls the service, so that its keys are its own. */
+    /** Tells whether one workspace alone calls these instances, so that their keys are its own. */
     boolean hasOneWorkspace(ServiceId service);
 }
--- a/daemon/src/main/java/org/catkinproxy/daemon/ConfiguredServices.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/ConfiguredServices.java
@@ -8,8 +8,10 @@
 import org.catkinproxy.id.ServiceId;
 
 import java.util.List;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /** Where the services of the configuration in force run. Safe for use by any thread. */
 final class ConfiguredServices implements ServiceDirectory {
@@ -33,7 +35,14 @@
 
     @Override
     public boolean hasOneWorkspace(ServiceId service) {
-        return routes(service).stream().map(ServiceRoute::workspace).distinct().count() == 1;
+        Set<PoolId> pools =
+                routes(service).stream().map(ServiceRoute::pool).collect(Collectors.toSet());
+        return mConfiguration.get().services().stream()
+                        .filter(r -> pools.contains(r.pool()))
+                        .map(ServiceRoute::workspace)
+                        .distinct()
+                        .count()
+                == 1;
     }
 
     private List<ServiceRoute> routes(ServiceId service) {
--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -480,8 +480,8 @@
 
         @Override
         public Completable handOver() {
-            // All that must last is in the platform's service; peers learn the rest from engines.
-            return Completable.complete();
+            // Peers learn from engines; what calls left to record must reach the platform.
+            return mCalls.drained();
         }
     }
 }
--- a/daemon/src/test/java/org/catkinproxy/calls/CallRunnerTest.java
+++ b/daemon/src/test/java/org/catkinproxy/calls/CallRunnerTest.java
@@ -16,7 +16,11 @@
 import org.catkinproxy.service.ServiceClient;
 import org.catkinproxy.standin.service.ServiceStandin;
 
+import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.observers.TestObserver;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -25,12 +29,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /** Filings through real sockets, over two routers, to a service that runs whatever it is sent. */
 class CallRunnerTest implements AutoCloseable {
     private static final byte[] RECEIPT_KEY = "0123456789abcdef".getBytes(StandardCharsets.UTF_8);
     private static final Duration LONG = Duration.ofSeconds(30);
-    private static final Duration SHORT = Duration.ofMillis(600);
+    private static final Duration SHORT = Duration.ofSeconds(2);
     private static final int MANY = 1_000_000;
 
     private final FakeTables mTables = new FakeTables();
@@ -39,10 +44,16 @@
     private final CallRunner mFirst = router("r1");
     private final CallRunner mSecond = router("r2");
 
+    /** A router on a clock of the test's own, for what happens at deadlines. */
+    private final TestScheduler mClock = new TestScheduler();
+
+    private final CallRunner mThird = router("r3", mClock);
+
     @Override
     public void close() {
         mFirst.dispose();
         mSecond.dispose();
+        mThird.dispose();
         mService.close();
     }
 
@@ -88,12 +99,12 @@
     @Example
     void withoutStatusTheOutcomeStaysUnknownAtEveryRouter() {
         mService.fault(org.catkinproxy.standin.Fault.of("answer_lost").times(1));
-        FilingBuilder call = filing().timeout(SHORT).ownsKeys(false);
+        FilingBuilder call = filing().ownsKeys(false);
         CallResult.Refused refusal = refused(mFirst.run(call.build()));
         assertThat(refusal.error().code()).isEqualTo(ErrorCode.CALL_OUTCOME_UNKNOWN);
         assertThat(refusal.error().outcome()).isEqualTo(Outcome.UNKNOWN);
         assertThat(refusal.receipt()).isEmpty();
-        CallResult.Refused rival = refused(mSecond.run(call.build()));
+        CallResult.Refused rival = refusedAtDeadline(call);
         assertThat(rival.error().code()).isEqualTo(ErrorCode.CALL_IN_PROGRESS);
         assertThat(rival.error().outcome()).isEqualTo(Outcome.UNKNOWN);
         assertThat(executions()).isEqualTo(1);
@@ -102,7 +113,7 @@
     @Example
     void silenceAfterSendingIsNeverCalledNotRun() {
         mService.fault(org.catkinproxy.standin.Fault.of("blackhole").times(1));
-        CallResult.Refused refusal = refused(mFirst.run(filing().timeout(SHORT).build()));
+        CallResult.Refused refusal = refusedAtDeadline(filing());
         assertThat(refusal.error().outcome()).isEqualTo(Outcome.UNKNOWN);
     }
 
@@ -116,7 +127,7 @@
     @Example
     void storeOutageEndsInTrueRefusalAndReceiptedRetryRuns() {
         mTables.fault(Fault.DOWN, 0, MANY);
-        CallResult.Refused refusal = refused(mFirst.run(filing().timeout(SHORT).build()));
+        CallResult.Refused refusal = refusedAtDeadline(filing());
         assertThat(refusal.error().outcome()).isEqualTo(Outcome.NOT_RUN);
         assertThat(executions()).isEqualTo(0);
         mTables.mend();
@@ -127,9 +138,9 @@
     @Example
     void claimsThatLandAfterTheRefusalBlockNobodyWithReceipt() {
         mTables.fault(Fault.DELAYED, 0, MANY);
-        CallResult.Refused refusal = refused(mFirst.run(filing().timeout(SHORT).build()));
+        CallResult.Refused refusal = refusedAtDeadline(filing());
         assertThat(refusal.error().outcome()).isEqualTo(Outcome.NOT_RUN);
-        mFirst.dispose();
+        mThird.dispose();
         mTables.mend();
         mTables.landDelayed();
         answered(mSecond.run(filing().receipt(refusal.receipt()).build()));
@@ -190,10 +201,20 @@
         return new FilingBuilder(live());
     }
 
+    private CallResult.Refused refusedAtDeadline(FilingBuilder call) {
+        TestObserver<CallResult> result = mThird.run(call.timeout(SHORT).build()).test();
+        mClock.advanceTimeBy(SHORT.toMillis(), TimeUnit.MILLISECONDS);
+        return (CallResult.Refused) result.values().get(0);
+    }
+
     private CallRunner router(String name) {
+        return router(name, Schedulers.computation());
+    }
+
+    private CallRunner router(String name, Scheduler scheduler) {
         CallSettings settings =
                 new CallSettings(InstanceId.of(name), RECEIPT_KEY, CallSettings.DEFAULT_RETENTION);
-        return CallRunner.create(settings, mTables, mTables, mClient);
+        return CallRunner.create(settings, mTables, mTables, mClient, scheduler);
     }
 
     private static String closedPort() throws IOException {
