--- a/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
@@ -12,6 +12,10 @@
 /** Lists an engine as leaving and counts its new work. Stateless; safe for use by any thread. */
 final class LeavingEngine {
     private static final Duration LIMIT = Duration.ofSeconds(5);
+
+    /** The time in which daemons can read of the change; a list that is down tells nobody. */
+    private static final Duration LISTED = Duration.ofMillis(2_500);
+
     private static final Duration WATCHED = Duration.ofSeconds(4);
 
     private LeavingEngine() {}
@@ -24,11 +28,13 @@
         long start = System.nanoTime();
         try {
             scene.cluster().list(engine, "leaving");
-            Cluster.sleep(LIMIT);
+            Cluster.sleep(LISTED);
+            boolean listed = scene.isUndisturbedSince(scene.cluster().platform(), start);
+            Cluster.sleep(LIMIT.minus(LISTED));
             long before = generations(engine);
             Cluster.sleep(WATCHED);
             long after = generations(engine);
-            if (scene.isUndisturbedSince(scene.cluster().platform(), start)) {
+            if (listed) {
                 String evidence = engine.id() + " took " + (after - before) + " new requests";
                 scene.ledger().check(Promise.LEAVING_NO_NEW_WORK, after == before, evidence);
             }
