--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import org.catkinproxy.calls.CallAdmin;
 import org.catkinproxy.calls.CallRunner;
 import org.catkinproxy.calls.CallSettings;
+import org.catkinproxy.calls.CallSweeper;
 import org.catkinproxy.config.Configuration;
 import org.catkinproxy.config.Workspace;
 import org.catkinproxy.configuration.ConfigTask;
@@ -29,14 +30,19 @@
 import org.catkinproxy.membership.StopTask;
 import org.catkinproxy.observe.EventLog;
 import org.catkinproxy.observe.LogEvent;
+import org.catkinproxy.observe.Metrics;
+import org.catkinproxy.observe.ServiceLevels;
+import org.catkinproxy.operator.FleetView;
 import org.catkinproxy.operator.OperatorKeys;
 import org.catkinproxy.operator.OperatorPorts;
 import org.catkinproxy.operator.OperatorRoutes;
+import org.catkinproxy.orders.HttpEngineControl;
+import org.catkinproxy.orders.OrderSettings;
+import org.catkinproxy.orders.OrderTask;
 import org.catkinproxy.peer.PeerHooks;
 import org.catkinproxy.peer.PeerLink;
 import org.catkinproxy.peer.PeerTimeouts;
 import org.catkinproxy.relay.Relay;
-import org.catkinproxy.relay.RelayObserver;
 import org.catkinproxy.revision.AcceptedSheet;
 import org.catkinproxy.revision.SpreadSettings;
 import org.catkinproxy.route.EngineReport;
@@ -64,6 +70,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
@@ -85,6 +92,8 @@
     private final CompositeDisposable mTasks = new CompositeDisposable();
     private final ActiveRequests mActive = new ActiveRequests();
     private final Gate mGate = new CallerGate();
+    private final Metrics mMetrics = Metrics.create();
+    private final ServiceLevels mLevels;
     private final MembershipTask mMembership;
     private final ConfigTask mConfig;
     private final EngineFleet mEngines;
@@ -92,14 +101,24 @@
     private final RouterHooks mHooks;
     private final PeerLink mPeers;
     private final CallRunner mCalls;
+    private final CallSweeper mCallSweeper;
+    private final OrderTask mOrders;
     private final Relay mRelay;
     private final StopTask mStop;
     private final HttpListener mCallers;
     private final HttpListener mOperators;
+    private final AtomicBoolean mClosed = new AtomicBoolean();
+    private volatile boolean mWasLive;
     private volatile Fleet mFleet = Fleet.of(MembershipView.EMPTY, Configuration.EMPTY);
 
     private Daemon(Settings settings) {
         mSettings = settings;
+        mLevels =
+                ServiceLevels.create(
+                        settings.instance(),
+                        settings.burnWindows().shortWindow(),
+                        settings.burnWindows().longWindow(),
+                        System::nanoTime);
         Platform platform = Platform.of(settings.platform());
         mMembership =
                 MembershipTask.create(
@@ -124,7 +143,7 @@
                         mEngines,
                         engineClient,
                         Schedulers.computation(),
-                        RelayObserver.NONE,
+                        new RelayMeasures(mMetrics, mLevels),
                         System::nanoTime);
         mHooks =
                 RouterHooks.start(
@@ -139,6 +158,7 @@
                         Ticker.systemTicker(),
                         SpreadSettings.DEFAULT,
                         new SplittableRandom());
+        OkHttpServiceClient serviceClient = OkHttpServiceClient.create();
         mCalls =
                 CallRunner.create(
                         new CallSettings(
@@ -147,7 +167,15 @@
                                 CallSettings.DEFAULT_RETENTION),
                         platform.table(),
                         platform.objects(),
-                        OkHttpServiceClient.create());
+                        serviceClient);
+        mCallSweeper =
+                CallSweeper.start(
+                        platform.table(),
+                        platform.objects(),
+                        serviceClient,
+                        new ConfiguredServices(mConfig::current, pool -> mFleet.instances(pool)),
+                        CallSweeper.DEFAULT_PERIOD);
+        mOrders = startOrders(platform);
         mStop = createStop();
         mPeers.serve(settings.peers(), new InForce(), mConfig.changes());
         mCallers = listen(settings.callers(), callerApi()::accept);
@@ -203,6 +231,10 @@
     /** Ends the instance at once; requests in progress are cut. */
     @Override
     public void close() {
+        if (!mClosed.compareAndSet(false, true)) {
+            return;
+        }
+        mRelay.close();
         mCallers.close();
         mOperators.close();
         mTasks.dispose();
@@ -210,6 +242,8 @@
         mHooks.dispose();
         mEngines.close();
         mDispatch.dispose();
+        mOrders.dispose();
+        mCallSweeper.dispose();
         mCalls.dispose();
         mConfig.dispose();
         mPeers.dispose();
@@ -244,9 +278,19 @@
         mDispatch.tell(new RouteEvent.SharesChanged(shares));
     }
 
-    /** The platform, an operator at any instance or a peer may have said that this one leaves. */
+    /**
+     * The platform, an operator at any instance or a peer may have said that this one leaves.
+     *
+     * <p>A list that lags may still mean an earlier start, so this one must have been live first.
+     */
     private void stopIfLeaving(MembershipView view) {
-        if (view.find(mSettings.instance()).map(MemberState::leaving).orElse(false)) {
+        Optional<MemberState> self = view.find(mSettings.instance());
+        if (self.isEmpty()) {
+            return;
+        }
+        if (!self.get().leaving()) {
+            mWasLive = true;
+        } else if (mWasLive) {
             mStop.stop();
         }
     }
@@ -274,6 +318,18 @@
                 mSettings.peers());
     }
 
+    private OrderTask startOrders(Platform platform) {
+        OrderSettings orders = OrderSettings.defaults(mSettings.instance());
+        return OrderTask.start(
+                orders,
+                platform.table(),
+                HttpEngineControl.create(orders.orderTimeout()),
+                () -> mConfig.isFresh() ? mConfig.current() : Configuration.EMPTY,
+                pool -> mFleet.orderTargets(pool),
+                Schedulers.computation(),
+                System::nanoTime);
+    }
+
     private StopTask createStop() {
         StopSettings defaults = StopSettings.DEFAULT;
         return StopTask.create(
@@ -308,28 +364,27 @@
     }
 
     private OperatorRoutes operatorRoutes(CallAdmin calls) {
+        FleetView fleet =
+                new LocalFleetView(mSettings, mGate, mMembership, mEngines, this::openRequests);
+        FleetGauges.add(mMetrics, fleet);
         return OperatorRoutes.create(
                 OperatorKeys.of(mSettings.operatorDigests()),
                 new OperatorPorts(
-                        new LocalFleetView(
-                                mSettings, mGate, mMembership, mEngines, this::openRequests),
+                        fleet,
                         new ConfigSheets(mConfig, this::revisions),
                         new CallTableAdmin(calls),
                         new MembershipStops(mMembership, mEngines),
                         new DispatchExplainer(
                                 mConfig::current, mDispatch, mSettings.dispatch().policy()),
                         this::burn,
-                        () -> ""));
+                        mMetrics::scrape));
     }
 
     private BurnMessage burn() {
-        return new BurnMessage(
-                mSettings.instance().value(),
-                mConfig.current().revision().value(),
+        return BurnMessage.of(
+                mLevels.snapshot(mConfig.current()),
                 mSettings.burnWindows().shortWindow().toMillis(),
-                mSettings.burnWindows().longWindow().toMillis(),
-                Map.of(),
-                List.of());
+                mSettings.burnWindows().longWindow().toMillis());
     }
 
     private List<RevisionView> revisions() {
