--- a/bench/src/main/java/org/catkinproxy/chaos/ChaosMain.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/ChaosMain.java
@@ -81,7 +81,7 @@
         scene.end();
         threads.shutdown();
         threads.awaitTermination(2, TimeUnit.MINUTES);
-        scene.filings().audit(cluster.services(), scene.ledger());
+        scene.filings().audit(FilingBook.executions(cluster.services()), scene.ledger());
         return scene.ledger().print();
     }
 
--- a/bench/src/main/java/org/catkinproxy/chaos/FilingBook.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/FilingBook.java
@@ -22,18 +22,23 @@
         mEntries.add(new Entry(key, alone, List.copyOf(answers)));
     }
 
-    /** Compares all answers with what the services executed. */
-    synchronized void audit(List<Member> services, Ledger ledger) {
+    /** Compares all answers with how often the services executed each filing. */
+    synchronized void audit(Map<String, Integer> executions, Ledger ledger) {
+        for (Entry entry : mEntries) {
+            auditEntry(entry, executions.getOrDefault(entry.key(), 0), ledger);
+        }
+    }
+
+    /** Returns how often the services executed each filing. */
+    static Map<String, Integer> executions(List<Member> services) {
         Map<String, Integer> executions = new HashMap<>();
         for (Member service : services) {
             ServiceLog.read(service).forEach(key -> executions.merge(key, 1, Integer::sum));
         }
-        for (Entry entry : mEntries) {
-            audit(entry, executions.getOrDefault(entry.key(), 0), ledger);
-        }
+        return executions;
     }
 
-    private static void audit(Entry entry, int executions, Ledger ledger) {
+    private static void auditEntry(Entry entry, int executions, Ledger ledger) {
         String evidence = entry.key() + " executed " + executions + " times, " + entry.kinds();
         ledger.check(Promise.FILING_ONCE, executions <= 1, evidence);
         List<String> done =
--- a/bench/src/main/java/org/catkinproxy/chaos/Ledger.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/Ledger.java
@@ -39,6 +39,14 @@
         note("FAILED " + failure);
     }
 
+    synchronized int broken(Promise promise) {
+        return mCounts.get(promise).mBroken;
+    }
+
+    synchronized int checked(Promise promise) {
+        return mCounts.get(promise).mChecked;
+    }
+
     /** Prints a line with the time since the start. */
     synchronized void note(String line) {
         Duration since = Duration.ofNanos(System.nanoTime() - mStartNanos);
