Reload listeners' TLS keys, and tell peers where operators reach an instance

The listeners for callers and operators take their certificate and key from files that are looked at every 2 s; a pair that can not be used changes nothing, so that half-written files cut nobody off. Weighed: file watches, which miss replaced directories and differ by file system; looking is enough.

--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -47,13 +47,16 @@
 import org.catkinproxy.settings.Limits;
 import org.catkinproxy.settings.Listener;
 import org.catkinproxy.settings.Settings;
+import org.catkinproxy.settings.TlsFiles;
 import org.catkinproxy.stop.StopSettings;
 import org.catkinproxy.stream.ResumeTokenCodec;
+import org.catkinproxy.tls.ListenerTls;
 import org.catkinproxy.upstream.EngineFleet;
 import org.catkinproxy.upstream.EngineTimeouts;
 import org.catkinproxy.upstream.HttpEngineClient;
 
 import io.jooby.Jooby;
+import io.netty.handler.ssl.SslContext;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
@@ -67,6 +70,7 @@
 import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 /**
@@ -160,9 +164,10 @@
                         OkHttpServiceClient.create());
         mStop = createStop();
         mPeers.serve(settings.peers(), new InForce(), mConfig.changes());
-        mCallers = listen(settings.callers(), callerApi()::accept);
+        mCallers = listen("callers", settings.callers(), callerApi()::accept);
         mOperators =
                 listen(
+                        "operators",
                         settings.operators(),
                         operatorRoutes(CallAdmin.create(platform.table(), platform.objects()))
                                 ::addTo);
@@ -228,6 +233,7 @@
     }
 
     private void begin() {
+        mPeers.tellOperatorAddress(mSettings.operators().host() + ":" + operatorPort());
         mTasks.add(
                 Flowable.combineLatest(mMembership.views(), mConfig.changes(), Fleet::of)
                         .observeOn(Schedulers.single())
@@ -319,7 +325,13 @@
 
     private OperatorRoutes operatorRoutes(CallAdmin calls) {
         FleetView fleet =
-                new LocalFleetView(mSettings, mGate, mMembership, mEngines, this::openRequests);
+                new LocalFleetView(
+                        mSettings,
+                        mGate,
+                        mMembership,
+                        mEngines,
+                        mPeers::operatorAddress,
+                        this::openRequests);
         FleetGauges.add(mMetrics, fleet);
         return OperatorRoutes.create(
                 OperatorKeys.of(mSettings.operatorDigests()),
@@ -360,7 +372,7 @@
         return new RevisionView(instance.value(), revision.value());
     }
 
-    private HttpListener listen(Listener listener, Consumer<Jooby> routes) {
+    private HttpListener listen(String name, Listener listener, Consumer<Jooby> routes) {
         Limits limits = mSettings.limits();
         return HttpListener.open(
                 listener.host(),
@@ -370,10 +382,16 @@
                         limits.maxHeaderBytes(),
                         (int) limits.bodyReadTimeout().toMillis(),
                         2 * limits.maxConcurrentRequests()),
-                Optional.empty(),
+                listener.tls().map(files -> openTls(name, files)),
                 routes);
     }
 
+    private Supplier<SslContext> openTls(String name, TlsFiles files) {
+        ListenerTls tls = ListenerTls.open(name, files.certificate(), files.key(), Schedulers.io());
+        mTasks.add(tls);
+        return tls;
+    }
+
     private static EngineTimeouts engineTimeouts(Limits limits) {
         return new EngineTimeouts(
                 ENGINE_CONNECT_MILLIS, (int) limits.streamIdle().toMillis(), ENGINE_CONTROL_MILLIS);
--- a/daemon/src/main/java/org/catkinproxy/daemon/LocalFleetView.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/LocalFleetView.java
@@ -5,6 +5,7 @@
 import org.catkinproxy.admin.InstanceView;
 import org.catkinproxy.caller.Gate;
 import org.catkinproxy.config.Configuration;
+import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.member.MemberState;
 import org.catkinproxy.membership.MembershipTask;
 import org.catkinproxy.operator.FleetView;
@@ -13,6 +14,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 
 /** Shows operators what this instance knows. Safe for use by any thread. */
@@ -21,6 +23,7 @@
     private final Gate mGate;
     private final MembershipTask mMembership;
     private final EngineFleet mEngines;
+    private final Function<InstanceId, String> mOperatorAddresses;
     private final IntSupplier mOpenRequests;
 
     LocalFleetView(
@@ -28,11 +31,13 @@
             Gate gate,
             MembershipTask membership,
             EngineFleet engines,
+            Function<InstanceId, String> operatorAddresses,
             IntSupplier openRequests) {
         mSettings = settings;
         mGate = gate;
         mMembership = membership;
         mEngines = engines;
+        mOperatorAddresses = operatorAddresses;
         mOpenRequests = openRequests;
     }
 
@@ -62,15 +67,15 @@
 
     @Override
     public List<InstanceView> instances() {
-        return mMembership.view().all().stream().map(LocalFleetView::view).toList();
+        return mMembership.view().all().stream().map(this::view).toList();
     }
 
-    private static InstanceView view(MemberState state) {
+    private InstanceView view(MemberState state) {
         return new InstanceView(
                 state.info().id().value(),
                 state.info().kind().name().toLowerCase(Locale.ROOT),
                 state.info().address(),
-                "",
+                mOperatorAddresses.apply(state.info().id()),
                 state.info().dataCentre().value(),
                 stateName(state),
                 state.info().weight());
--- a/daemon/src/main/java/org/catkinproxy/peer/PeerLink.java
+++ b/daemon/src/main/java/org/catkinproxy/peer/PeerLink.java
@@ -45,6 +45,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -72,6 +73,8 @@
     private final CompositeDisposable mSubscriptions = new CompositeDisposable();
     private final FlowableProcessor<Said> mSaid = PublishProcessor.<Said>create().toSerialized();
     private volatile InForce mInForce = InForce.NOTHING;
+    private final Map<InstanceId, String> mOperatorAddresses = new ConcurrentHashMap<>();
+    private volatile String mOperatorAddress = "";
     private volatile boolean mLeaving;
     private volatile PeerServer mServer;
 
@@ -112,6 +115,18 @@
         mServer = PeerServer.open(listener.host(), listener.port(), new Handler(), mTimeouts, mTls);
     }
 
+    /** Has peers told where operators reach this instance, as IP number and port. */
+    public void tellOperatorAddress(String address) {
+        mOperatorAddress = checkNotNull(address, "address");
+    }
+
+    /** Returns where operators reach an instance; empty if it has not said so. */
+    public String operatorAddress(InstanceId instance) {
+        return instance.equals(mSelf)
+                ? mOperatorAddress
+                : mOperatorAddresses.getOrDefault(instance, "");
+    }
+
     /** Returns the port on which peers are answered. */
     public int port() {
         return mServer.port();
@@ -227,6 +242,9 @@
                         PeerCodec.leaves(notes),
                         PeerCodec.loads(mHooks.inFlight(), MAX_LOADS),
                         mHooks.loadPermille());
+        if (!mOperatorAddress.isEmpty()) {
+            mine.setOperatorAddress(mOperatorAddress);
+        }
         mInForce.sheet().ifPresent(s -> mine.setHead(PeerCodec.mark(s.head())));
         return mine;
     }
@@ -237,10 +255,18 @@
         mMembership.answered(peer, incarnation, theirs.getLoadPermille());
         mMembership.heard(PeerCodec.notes(theirs));
         mHooks.peerLoad(PeerCodec.peerLoad(theirs));
+        noteOperatorAddress(peer, theirs);
         Optional<Head> head = Optional.ofNullable(theirs.getHead()).map(PeerCodec::head);
         return new Said(peer, head, theirs.isFresh());
     }
 
+    private void noteOperatorAddress(InstanceId peer, Exchange theirs) {
+        if (theirs.isSetOperatorAddress()) {
+            mOperatorAddresses.put(peer, theirs.getOperatorAddress());
+        }
+        mOperatorAddresses.keySet().removeIf(i -> mMembership.view().find(i).isEmpty());
+    }
+
     private static CatkinException unreachable(InstanceId peer, Throwable cause) {
         return CatkinException.of(
                 ErrorCode.PEER_UNREACHABLE,
--- a/daemon/src/main/java/org/catkinproxy/peer/gen/Exchange.java
+++ b/daemon/src/main/java/org/catkinproxy/peer/gen/Exchange.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField LEAVES_FIELD_DESC = new org.apache.thrift.protocol.TField("leaves", org.apache.thrift.protocol.TType.LIST, (short)5);
   private static final org.apache.thrift.protocol.TField LOADS_FIELD_DESC = new org.apache.thrift.protocol.TField("loads", org.apache.thrift.protocol.TType.LIST, (short)6);
   private static final org.apache.thrift.protocol.TField LOAD_PERMILLE_FIELD_DESC = new org.apache.thrift.protocol.TField("loadPermille", org.apache.thrift.protocol.TType.I32, (short)7);
+  private static final org.apache.thrift.protocol.TField OPERATOR_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("operatorAddress", org.apache.thrift.protocol.TType.STRING, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ExchangeStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ExchangeTupleSchemeFactory();
@@ -28,6 +29,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<Leave> leaves; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<EngineLoad> loads; // required
   private int loadPermille; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String operatorAddress; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +39,8 @@
     FRESH((short)4, "fresh"),
     LEAVES((short)5, "leaves"),
     LOADS((short)6, "loads"),
-    LOAD_PERMILLE((short)7, "loadPermille");
+    LOAD_PERMILLE((short)7, "loadPermille"),
+    OPERATOR_ADDRESS((short)8, "operatorAddress");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -67,6 +70,8 @@
           return LOADS;
         case 7: // LOAD_PERMILLE
           return LOAD_PERMILLE;
+        case 8: // OPERATOR_ADDRESS
+          return OPERATOR_ADDRESS;
         default:
           return null;
       }
@@ -113,7 +118,7 @@
   private static final int __FRESH_ISSET_ID = 0;
   private static final int __LOADPERMILLE_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.HEAD};
+  private static final _Fields optionals[] = {_Fields.HEAD,_Fields.OPERATOR_ADDRESS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -133,6 +138,8 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, EngineLoad.class))));
     tmpMap.put(_Fields.LOAD_PERMILLE, new org.apache.thrift.meta_data.FieldMetaData("loadPermille", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.OPERATOR_ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("operatorAddress", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Exchange.class, metaDataMap);
   }
@@ -189,6 +196,9 @@
       this.loads = __this__loads;
     }
     this.loadPermille = other.loadPermille;
+    if (other.isSetOperatorAddress()) {
+      this.operatorAddress = other.operatorAddress;
+    }
   }
 
   @Override
@@ -207,6 +217,7 @@
     this.loads = null;
     setLoadPermilleIsSet(false);
     this.loadPermille = 0;
+    this.operatorAddress = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -412,6 +423,31 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LOADPERMILLE_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getOperatorAddress() {
+    return this.operatorAddress;
+  }
+
+  public Exchange setOperatorAddress(@org.apache.thrift.annotation.Nullable java.lang.String operatorAddress) {
+    this.operatorAddress = operatorAddress;
+    return this;
+  }
+
+  public void unsetOperatorAddress() {
+    this.operatorAddress = null;
+  }
+
+  /** Returns true if field operatorAddress is set (has been assigned a value) and false otherwise */
+  public boolean isSetOperatorAddress() {
+    return this.operatorAddress != null;
+  }
+
+  public void setOperatorAddressIsSet(boolean value) {
+    if (!value) {
+      this.operatorAddress = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -471,6 +507,14 @@
       }
       break;
 
+    case OPERATOR_ADDRESS:
+      if (value == null) {
+        unsetOperatorAddress();
+      } else {
+        setOperatorAddress((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -499,6 +543,9 @@
     case LOAD_PERMILLE:
       return getLoadPermille();
 
+    case OPERATOR_ADDRESS:
+      return getOperatorAddress();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -525,6 +572,8 @@
       return isSetLoads();
     case LOAD_PERMILLE:
       return isSetLoadPermille();
+    case OPERATOR_ADDRESS:
+      return isSetOperatorAddress();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -605,6 +654,15 @@
         return false;
     }
 
+    boolean this_present_operatorAddress = true && this.isSetOperatorAddress();
+    boolean that_present_operatorAddress = true && that.isSetOperatorAddress();
+    if (this_present_operatorAddress || that_present_operatorAddress) {
+      if (!(this_present_operatorAddress && that_present_operatorAddress))
+        return false;
+      if (!this.operatorAddress.equals(that.operatorAddress))
+        return false;
+    }
+
     return true;
   }
 
@@ -636,6 +694,10 @@
 
     hashCode = hashCode * 8191 + loadPermille;
 
+    hashCode = hashCode * 8191 + ((isSetOperatorAddress()) ? 131071 : 524287);
+    if (isSetOperatorAddress())
+      hashCode = hashCode * 8191 + operatorAddress.hashCode();
+
     return hashCode;
   }
 
@@ -717,6 +779,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetOperatorAddress(), other.isSetOperatorAddress());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOperatorAddress()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.operatorAddress, other.operatorAddress);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -790,6 +862,16 @@
     sb.append("loadPermille:");
     sb.append(this.loadPermille);
     first = false;
+    if (isSetOperatorAddress()) {
+      if (!first) sb.append(", ");
+      sb.append("operatorAddress:");
+      if (this.operatorAddress == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.operatorAddress);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -933,6 +1015,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 8: // OPERATOR_ADDRESS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.operatorAddress = iprot.readString();
+              struct.setOperatorAddressIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1002,6 +1092,13 @@
       oprot.writeFieldBegin(LOAD_PERMILLE_FIELD_DESC);
       oprot.writeI32(struct.loadPermille);
       oprot.writeFieldEnd();
+      if (struct.operatorAddress != null) {
+        if (struct.isSetOperatorAddress()) {
+          oprot.writeFieldBegin(OPERATOR_ADDRESS_FIELD_DESC);
+          oprot.writeString(struct.operatorAddress);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1042,10 +1139,16 @@
       if (struct.isSetHead()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetOperatorAddress()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetHead()) {
         struct.head.write(oprot);
       }
+      if (struct.isSetOperatorAddress()) {
+        oprot.writeString(struct.operatorAddress);
+      }
     }
 
     @Override
@@ -1083,12 +1186,16 @@
       struct.setLoadsIsSet(true);
       struct.loadPermille = iprot.readI32();
       struct.setLoadPermilleIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         struct.head = new HeadMark();
         struct.head.read(iprot);
         struct.setHeadIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.operatorAddress = iprot.readString();
+        struct.setOperatorAddressIsSet(true);
+      }
     }
   }
 
--- a/daemon/src/main/thrift/peer.thrift
+++ b/daemon/src/main/thrift/peer.thrift
@@ -32,6 +32,8 @@
   5: required list<Leave> leaves,
   6: required list<EngineLoad> loads,
   7: required i32 loadPermille,
+  /* IP number and port of the sender's interface for operators. */
+  8: optional string operatorAddress,
 }
 
 struct SheetRequest {
--- a/daemon/src/test/java/org/catkinproxy/daemon/TestCluster.java
+++ b/daemon/src/test/java/org/catkinproxy/daemon/TestCluster.java
@@ -47,6 +47,7 @@
 final class TestCluster implements AutoCloseable {
     static final String KEY_LARGE = "key-large";
     static final String KEY_SMALL = "key-small";
+    static final String KEY_OPERATOR = "key-operator";
     static final WeightsName WEIGHTS = new WeightsName("review", "base", "v1");
 
     private static final MediaType JSON = MediaType.get("application/json");
@@ -229,7 +230,7 @@
                         platform,
                         Duration.ofMillis(500),
                         Duration.ofMillis(2_000)),
-                Map.of(),
+                Map.of("alice", Hashing.sha256().hashString(KEY_OPERATOR, UTF_8).toString()),
                 Secrets.of(new byte[32], new byte[32]),
                 new DispatchSettings(RoutingPolicy.TAIL_FIRST, 1_000),
                 Limits.DEFAULT,
