--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import org.catkinproxy.calls.CallAdmin;
 import org.catkinproxy.calls.CallRunner;
 import org.catkinproxy.calls.CallSettings;
+import org.catkinproxy.calls.CallSweeper;
 import org.catkinproxy.config.Configuration;
 import org.catkinproxy.config.Workspace;
 import org.catkinproxy.configuration.ConfigTask;
@@ -35,6 +36,9 @@
 import org.catkinproxy.operator.OperatorKeys;
 import org.catkinproxy.operator.OperatorPorts;
 import org.catkinproxy.operator.OperatorRoutes;
+import org.catkinproxy.orders.HttpEngineControl;
+import org.catkinproxy.orders.OrderSettings;
+import org.catkinproxy.orders.OrderTask;
 import org.catkinproxy.peer.PeerHooks;
 import org.catkinproxy.peer.PeerLink;
 import org.catkinproxy.peer.PeerTimeouts;
@@ -69,6 +73,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -100,10 +105,14 @@
     private final RouterHooks mHooks;
     private final PeerLink mPeers;
     private final CallRunner mCalls;
+    private final CallSweeper mCallSweeper;
+    private final OrderTask mOrders;
     private final Relay mRelay;
     private final StopTask mStop;
     private final HttpListener mCallers;
     private final HttpListener mOperators;
+    private final AtomicBoolean mClosed = new AtomicBoolean();
+    private volatile boolean mWasLive;
     private volatile Fleet mFleet = Fleet.of(MembershipView.EMPTY, Configuration.EMPTY);
 
     private Daemon(Settings settings) {
@@ -153,6 +162,7 @@
                         Ticker.systemTicker(),
                         SpreadSettings.DEFAULT,
                         new SplittableRandom());
+        OkHttpServiceClient serviceClient = OkHttpServiceClient.create();
         mCalls =
                 CallRunner.create(
                         new CallSettings(
@@ -161,7 +171,15 @@
                                 CallSettings.DEFAULT_RETENTION),
                         platform.table(),
                         platform.objects(),
-                        OkHttpServiceClient.create());
+                        serviceClient);
+        mCallSweeper =
+                CallSweeper.start(
+                        platform.table(),
+                        platform.objects(),
+                        serviceClient,
+                        new ConfiguredServices(mConfig::current, pool -> mFleet.instances(pool)),
+                        CallSweeper.DEFAULT_PERIOD);
+        mOrders = startOrders(platform);
         mStop = createStop();
         mPeers.serve(settings.peers(), new InForce(), mConfig.changes());
         mCallers = listen("callers", settings.callers(), callerApi()::accept);
@@ -218,6 +236,10 @@
     /** Ends the instance at once; requests in progress are cut. */
     @Override
     public void close() {
+        if (!mClosed.compareAndSet(false, true)) {
+            return;
+        }
+        mRelay.close();
         mCallers.close();
         mOperators.close();
         mTasks.dispose();
@@ -225,6 +247,8 @@
         mHooks.dispose();
         mEngines.close();
         mDispatch.dispose();
+        mOrders.dispose();
+        mCallSweeper.dispose();
         mCalls.dispose();
         mConfig.dispose();
         mPeers.dispose();
@@ -260,9 +284,19 @@
         mDispatch.tell(new RouteEvent.SharesChanged(shares));
     }
 
-    /** The platform, an operator at any instance or a peer may have said that this one leaves. */
+    /**
+     * The platform, an operator at any instance or a peer may have said that this one leaves.
+     *
+     * <p>A list that lags may still mean an earlier start, so this one must have been live first.
+     */
     private void stopIfLeaving(MembershipView view) {
-        if (view.find(mSettings.instance()).map(MemberState::leaving).orElse(false)) {
+        Optional<MemberState> self = view.find(mSettings.instance());
+        if (self.isEmpty()) {
+            return;
+        }
+        if (!self.get().leaving()) {
+            mWasLive = true;
+        } else if (mWasLive) {
             mStop.stop();
         }
     }
@@ -290,6 +324,18 @@
                 mSettings.peers());
     }
 
+    private OrderTask startOrders(Platform platform) {
+        OrderSettings orders = OrderSettings.defaults(mSettings.instance());
+        return OrderTask.start(
+                orders,
+                platform.table(),
+                HttpEngineControl.create(orders.orderTimeout()),
+                () -> mConfig.isFresh() ? mConfig.current() : Configuration.EMPTY,
+                pool -> mFleet.orderTargets(pool),
+                Schedulers.computation(),
+                System::nanoTime);
+    }
+
     private StopTask createStop() {
         StopSettings defaults = StopSettings.DEFAULT;
         return StopTask.create(
