--- a/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
+++ b/daemon/src/main/java/org/catkinproxy/observe/LogEvent.java
@@ -26,9 +26,9 @@
     CALL_UNKNOWN(303, Level.WARN, "call {} attempt {} answered with outcome unknown: {}"),
     CALL_CONTRADICTED(304, Level.ERROR, "call {} ran, though operator {} settled it as not run"),
     CALL_RESOLVED(305, Level.INFO, "call {} settled by operator {}: ran={}, {}"),
+    CALL_RECORDED(306, Level.INFO, "call {} recorded from the service's own account"),
     CALL_ROW_MALFORMED(307, Level.ERROR, "row {} of the calls can not be read: {}"),
     CALL_SWEEP_FAILED(308, Level.WARN, "open calls could not be looked through: {}"),
-    CALL_RECORDED(306, Level.INFO, "call {} recorded from the service's own account"),
     // 400: configuration
     SHEET_ACCEPTED(401, Level.INFO, "revision {} accepted for operator {}"),
     REVISION_IN_FORCE(402, Level.INFO, "revision {} of operator {} is in force"),
