--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -2,12 +2,9 @@
 
 import com.google.common.base.Ticker;
 
-import org.catkinproxy.admin.BurnMessage;
-import org.catkinproxy.admin.RevisionView;
 import org.catkinproxy.caller.ActiveRequests;
 import org.catkinproxy.caller.CallerApi;
 import org.catkinproxy.caller.CallerLimits;
-import org.catkinproxy.caller.EntryDirectory;
 import org.catkinproxy.caller.Gate;
 import org.catkinproxy.calls.CallAdmin;
 import org.catkinproxy.calls.CallRunner;
@@ -17,13 +14,10 @@
 import org.catkinproxy.config.Workspace;
 import org.catkinproxy.configuration.ConfigTask;
 import org.catkinproxy.dispatch.DispatchTask;
-import org.catkinproxy.http.HttpLimits;
 import org.catkinproxy.http.HttpListener;
 import org.catkinproxy.id.Incarnation;
 import org.catkinproxy.id.InstanceId;
-import org.catkinproxy.id.Revision;
 import org.catkinproxy.id.WorkspaceId;
-import org.catkinproxy.member.EntryRanking;
 import org.catkinproxy.member.MemberState;
 import org.catkinproxy.member.MembershipView;
 import org.catkinproxy.membership.MembershipTask;
@@ -32,9 +26,6 @@
 import org.catkinproxy.observe.LogEvent;
 import org.catkinproxy.observe.Metrics;
 import org.catkinproxy.observe.ServiceLevels;
-import org.catkinproxy.operator.FleetView;
-import org.catkinproxy.operator.OperatorKeys;
-import org.catkinproxy.operator.OperatorPorts;
 import org.catkinproxy.operator.OperatorRoutes;
 import org.catkinproxy.orders.HttpEngineControl;
 import org.catkinproxy.orders.OrderSettings;
@@ -49,33 +40,24 @@
 import org.catkinproxy.route.RouteEvent;
 import org.catkinproxy.service.OkHttpServiceClient;
 import org.catkinproxy.settings.Limits;
-import org.catkinproxy.settings.Listener;
 import org.catkinproxy.settings.Settings;
-import org.catkinproxy.settings.TlsFiles;
 import org.catkinproxy.stop.StopSettings;
 import org.catkinproxy.stream.ResumeTokenCodec;
-import org.catkinproxy.tls.ListenerTls;
 import org.catkinproxy.upstream.EngineFleet;
 import org.catkinproxy.upstream.EngineTimeouts;
 import org.catkinproxy.upstream.HttpEngineClient;
 
-import io.jooby.Jooby;
-import io.netty.handler.ssl.SslContext;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
-import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 /**
@@ -85,7 +67,6 @@
  */
 public final class Daemon implements AutoCloseable {
     private static final int MAX_TOKENS = 32_768;
-    private static final int MAX_ENTRIES = 8;
     private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(10);
     private static final Duration MAX_DEADLINE = Duration.ofMinutes(5);
     private static final int ENGINE_CONNECT_MILLIS = 500;
@@ -182,9 +163,10 @@
         mOrders = startOrders(platform);
         mStop = createStop();
         mPeers.serve(settings.peers(), new InForce(), mConfig.changes());
-        mCallers = listen("callers", settings.callers(), callerApi()::accept);
+        Listeners listeners = new Listeners(settings.limits(), mTasks);
+        mCallers = listeners.open("callers", settings.callers(), callerApi());
         mOperators =
-                listen(
+                listeners.open(
                         "operators",
                         settings.operators(),
                         operatorRoutes(CallAdmin.create(platform.table(), platform.objects()))
@@ -356,7 +338,7 @@
                 mRelay,
                 mCalls,
                 pool -> mFleet.instances(pool),
-                new Entries(),
+                new RankedEntries(mMembership, mSettings.entriesTtl()),
                 ResumeTokenCodec.create(mSettings.secrets().resumeTokenKey()),
                 new CallerLimits(
                         MAX_TOKENS,
@@ -370,72 +352,19 @@
     }
 
     private OperatorRoutes operatorRoutes(CallAdmin calls) {
-        FleetView fleet =
-                new LocalFleetView(
+        return new OperatorSide(
                         mSettings,
                         mGate,
                         mMembership,
                         mEngines,
-                        mPeers::operatorAddress,
-                        this::openRequests);
-        FleetGauges.add(mMetrics, fleet);
-        return OperatorRoutes.create(
-                OperatorKeys.of(mSettings.operatorDigests()),
-                new OperatorPorts(
-                        fleet,
-                        new ConfigSheets(mConfig, this::revisions),
-                        new CallTableAdmin(calls),
-                        new MembershipStops(mMembership, mEngines),
-                        new DispatchExplainer(
-                                mConfig::current, mDispatch, mSettings.dispatch().policy()),
-                        this::burn,
-                        mMetrics::scrape));
-    }
-
-    private BurnMessage burn() {
-        return BurnMessage.of(
-                mLevels.snapshot(mConfig.current()),
-                mSettings.burnWindows().shortWindow().toMillis(),
-                mSettings.burnWindows().longWindow().toMillis());
-    }
-
-    private List<RevisionView> revisions() {
-        List<RevisionView> views = new ArrayList<>();
-        views.add(view(mSettings.instance(), mConfig.current().revision()));
-        mPeers.revisions()
-                .blockingGet()
-                .forEach(
-                        (peer, said) ->
-                                views.add(
-                                        view(
-                                                peer,
-                                                said.map(s -> s.revision())
-                                                        .orElse(Revision.NONE))));
-        return views;
-    }
-
-    private static RevisionView view(InstanceId instance, Revision revision) {
-        return new RevisionView(instance.value(), revision.value());
-    }
-
-    private HttpListener listen(String name, Listener listener, Consumer<Jooby> routes) {
-        Limits limits = mSettings.limits();
-        return HttpListener.open(
-                listener.host(),
-                listener.port(),
-                new HttpLimits(
-                        limits.maxBodyBytes(),
-                        limits.maxHeaderBytes(),
-                        (int) limits.bodyReadTimeout().toMillis(),
-                        2 * limits.maxConcurrentRequests()),
-                listener.tls().map(files -> openTls(name, files)),
-                routes);
-    }
-
-    private Supplier<SslContext> openTls(String name, TlsFiles files) {
-        ListenerTls tls = ListenerTls.open(name, files.certificate(), files.key(), Schedulers.io());
-        mTasks.add(tls);
-        return tls;
+                        mDispatch,
+                        mConfig,
+                        mPeers,
+                        calls,
+                        mLevels,
+                        mMetrics,
+                        this::openRequests)
+                .routes();
     }
 
     private static EngineTimeouts engineTimeouts(Limits limits) {
@@ -461,21 +390,6 @@
         }
     }
 
-    /** The entry instances for callers. Safe for use by any thread. */
-    private final class Entries implements EntryDirectory {
-        @Override
-        public List<Entry> entries(String caller) {
-            return EntryRanking.rank(mMembership.view(), caller, MAX_ENTRIES).stream()
-                    .map(i -> new Entry(i.id(), i.address()))
-                    .toList();
-        }
-
-        @Override
-        public long ttlMillis() {
-            return mSettings.entriesTtl().toMillis();
-        }
-    }
-
     /** What peers are told of the configuration. Safe for use by any thread. */
     private final class InForce implements PeerLink.InForce {
         @Override
