--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import org.catkinproxy.calls.CallAdmin;
 import org.catkinproxy.calls.CallRunner;
 import org.catkinproxy.calls.CallSettings;
+import org.catkinproxy.calls.CallSweeper;
 import org.catkinproxy.config.Configuration;
 import org.catkinproxy.config.Workspace;
 import org.catkinproxy.configuration.ConfigTask;
@@ -29,14 +30,19 @@
 import org.catkinproxy.membership.StopTask;
 import org.catkinproxy.observe.EventLog;
 import org.catkinproxy.observe.LogEvent;
+import org.catkinproxy.observe.Metrics;
+import org.catkinproxy.observe.ServiceLevels;
+import org.catkinproxy.operator.FleetView;
 import org.catkinproxy.operator.OperatorKeys;
 import org.catkinproxy.operator.OperatorPorts;
 import org.catkinproxy.operator.OperatorRoutes;
+import org.catkinproxy.orders.HttpEngineControl;
+import org.catkinproxy.orders.OrderSettings;
+import org.catkinproxy.orders.OrderTask;
 import org.catkinproxy.peer.PeerHooks;
 import org.catkinproxy.peer.PeerLink;
 import org.catkinproxy.peer.PeerTimeouts;
 import org.catkinproxy.relay.Relay;
-import org.catkinproxy.relay.RelayObserver;
 import org.catkinproxy.revision.AcceptedSheet;
 import org.catkinproxy.revision.SpreadSettings;
 import org.catkinproxy.route.EngineReport;
@@ -45,13 +51,16 @@
 import org.catkinproxy.settings.Limits;
 import org.catkinproxy.settings.Listener;
 import org.catkinproxy.settings.Settings;
+import org.catkinproxy.settings.TlsFiles;
 import org.catkinproxy.stop.StopSettings;
 import org.catkinproxy.stream.ResumeTokenCodec;
+import org.catkinproxy.tls.ListenerTls;
 import org.catkinproxy.upstream.EngineFleet;
 import org.catkinproxy.upstream.EngineTimeouts;
 import org.catkinproxy.upstream.HttpEngineClient;
 
 import io.jooby.Jooby;
+import io.netty.handler.ssl.SslContext;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
@@ -64,7 +73,9 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 /**
@@ -85,6 +96,8 @@
     private final CompositeDisposable mTasks = new CompositeDisposable();
     private final ActiveRequests mActive = new ActiveRequests();
     private final Gate mGate = new CallerGate();
+    private final Metrics mMetrics = Metrics.create();
+    private final ServiceLevels mLevels;
     private final MembershipTask mMembership;
     private final ConfigTask mConfig;
     private final EngineFleet mEngines;
@@ -92,15 +105,24 @@
     private final RouterHooks mHooks;
     private final PeerLink mPeers;
     private final CallRunner mCalls;
+    private final CallSweeper mCallSweeper;
+    private final OrderTask mOrders;
     private final Relay mRelay;
     private final StopTask mStop;
     private final HttpListener mCallers;
     private final HttpListener mOperators;
+    private final AtomicBoolean mClosed = new AtomicBoolean();
     private volatile boolean mWasLive;
     private volatile Fleet mFleet = Fleet.of(MembershipView.EMPTY, Configuration.EMPTY);
 
     private Daemon(Settings settings) {
         mSettings = settings;
+        mLevels =
+                ServiceLevels.create(
+                        settings.instance(),
+                        settings.burnWindows().shortWindow(),
+                        settings.burnWindows().longWindow(),
+                        System::nanoTime);
         Platform platform = Platform.of(settings.platform());
         mMembership =
                 MembershipTask.create(
@@ -125,7 +147,7 @@
                         mEngines,
                         engineClient,
                         Schedulers.computation(),
-                        RelayObserver.NONE,
+                        new RelayMeasures(mMetrics, mLevels),
                         System::nanoTime);
         mHooks =
                 RouterHooks.start(
@@ -140,6 +162,7 @@
                         Ticker.systemTicker(),
                         SpreadSettings.DEFAULT,
                         new SplittableRandom());
+        OkHttpServiceClient serviceClient = OkHttpServiceClient.create();
         mCalls =
                 CallRunner.create(
                         new CallSettings(
@@ -148,12 +171,21 @@
                                 CallSettings.DEFAULT_RETENTION),
                         platform.table(),
                         platform.objects(),
-                        OkHttpServiceClient.create());
+                        serviceClient);
+        mCallSweeper =
+                CallSweeper.start(
+                        platform.table(),
+                        platform.objects(),
+                        serviceClient,
+                        new ConfiguredServices(mConfig::current, pool -> mFleet.instances(pool)),
+                        CallSweeper.DEFAULT_PERIOD);
+        mOrders = startOrders(platform);
         mStop = createStop();
         mPeers.serve(settings.peers(), new InForce(), mConfig.changes());
-        mCallers = listen(settings.callers(), callerApi()::accept);
+        mCallers = listen("callers", settings.callers(), callerApi()::accept);
         mOperators =
                 listen(
+                        "operators",
                         settings.operators(),
                         operatorRoutes(CallAdmin.create(platform.table(), platform.objects()))
                                 ::addTo);
@@ -204,6 +236,10 @@
     /** Ends the instance at once; requests in progress are cut. */
     @Override
     public void close() {
+        if (!mClosed.compareAndSet(false, true)) {
+            return;
+        }
+        mRelay.close();
         mCallers.close();
         mOperators.close();
         mTasks.dispose();
@@ -211,6 +247,8 @@
         mHooks.dispose();
         mEngines.close();
         mDispatch.dispose();
+        mOrders.dispose();
+        mCallSweeper.dispose();
         mCalls.dispose();
         mConfig.dispose();
         mPeers.dispose();
@@ -219,6 +257,7 @@
     }
 
     private void begin() {
+        mPeers.tellOperatorAddress(mSettings.operators().host() + ":" + operatorPort());
         mTasks.add(
                 Flowable.combineLatest(mMembership.views(), mConfig.changes(), Fleet::of)
                         .observeOn(Schedulers.single())
@@ -285,6 +324,18 @@
                 mSettings.peers());
     }
 
+    private OrderTask startOrders(Platform platform) {
+        OrderSettings orders = OrderSettings.defaults(mSettings.instance());
+        return OrderTask.start(
+                orders,
+                platform.table(),
+                HttpEngineControl.create(orders.orderTimeout()),
+                () -> mConfig.isFresh() ? mConfig.current() : Configuration.EMPTY,
+                pool -> mFleet.orderTargets(pool),
+                Schedulers.computation(),
+                System::nanoTime);
+    }
+
     private StopTask createStop() {
         StopSettings defaults = StopSettings.DEFAULT;
         return StopTask.create(
@@ -319,28 +370,33 @@
     }
 
     private OperatorRoutes operatorRoutes(CallAdmin calls) {
+        FleetView fleet =
+                new LocalFleetView(
+                        mSettings,
+                        mGate,
+                        mMembership,
+                        mEngines,
+                        mPeers::operatorAddress,
+                        this::openRequests);
+        FleetGauges.add(mMetrics, fleet);
         return OperatorRoutes.create(
                 OperatorKeys.of(mSettings.operatorDigests()),
                 new OperatorPorts(
-                        new LocalFleetView(
-                                mSettings, mGate, mMembership, mEngines, this::openRequests),
+                        fleet,
                         new ConfigSheets(mConfig, this::revisions),
                         new CallTableAdmin(calls),
                         new MembershipStops(mMembership, mEngines),
                         new DispatchExplainer(
                                 mConfig::current, mDispatch, mSettings.dispatch().policy()),
                         this::burn,
-                        () -> ""));
+                        mMetrics::scrape));
     }
 
     private BurnMessage burn() {
-        return new BurnMessage(
-                mSettings.instance().value(),
-                mConfig.current().revision().value(),
+        return BurnMessage.of(
+                mLevels.snapshot(mConfig.current()),
                 mSettings.burnWindows().shortWindow().toMillis(),
-                mSettings.burnWindows().longWindow().toMillis(),
-                Map.of(),
-                List.of());
+                mSettings.burnWindows().longWindow().toMillis());
     }
 
     private List<RevisionView> revisions() {
@@ -362,7 +418,7 @@
         return new RevisionView(instance.value(), revision.value());
     }
 
-    private HttpListener listen(Listener listener, Consumer<Jooby> routes) {
+    private HttpListener listen(String name, Listener listener, Consumer<Jooby> routes) {
         Limits limits = mSettings.limits();
         return HttpListener.open(
                 listener.host(),
@@ -372,10 +428,16 @@
                         limits.maxHeaderBytes(),
                         (int) limits.bodyReadTimeout().toMillis(),
                         2 * limits.maxConcurrentRequests()),
-                Optional.empty(),
+                listener.tls().map(files -> openTls(name, files)),
                 routes);
     }
 
+    private Supplier<SslContext> openTls(String name, TlsFiles files) {
+        ListenerTls tls = ListenerTls.open(name, files.certificate(), files.key(), Schedulers.io());
+        mTasks.add(tls);
+        return tls;
+    }
+
     private static EngineTimeouts engineTimeouts(Limits limits) {
         return new EngineTimeouts(
                 ENGINE_CONNECT_MILLIS, (int) limits.streamIdle().toMillis(), ENGINE_CONTROL_MILLIS);
