Name daemons of unknown operator address as missing in the burn report

An empty address gave a URL whose host was the first word of the path, to which the operator's key would have been sent; found by running burn against daemons that do not tell their address. Such a daemon is now counted as missing, and a test holds it.

--- a/cli/src/main/java/org/catkinproxy/cli/BurnGathering.java
+++ b/cli/src/main/java/org/catkinproxy/cli/BurnGathering.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The service-level figures of all daemons that one of them knows.
@@ -36,11 +37,7 @@
             if (!other || i.state().equals(LEFT)) {
                 continue;
             }
-            try {
-                messages.add(ask(client, i));
-            } catch (CatkinException e) {
-                missing.add(i.instance());
-            }
+            ask(client, i).ifPresentOrElse(messages::add, () -> missing.add(i.instance()));
         }
         return new BurnGathering(messages, missing);
     }
@@ -49,9 +46,16 @@
         return messages.stream().map(BurnMessage::instance).toList();
     }
 
-    private static BurnMessage ask(OperatorClient client, InstanceView instance) {
+    private static Optional<BurnMessage> ask(OperatorClient client, InstanceView instance) {
+        if (instance.operatorAddress().isEmpty()) {
+            return Optional.empty();
+        }
         String scheme = client.server().substring(0, client.server().indexOf("://"));
         String base = scheme + "://" + instance.operatorAddress();
-        return client.at(base).get("/operator/burn", BurnMessage.class);
+        try {
+            return Optional.of(client.at(base).get("/operator/burn", BurnMessage.class));
+        } catch (CatkinException e) {
+            return Optional.empty();
+        }
     }
 }
--- a/cli/src/main/java/org/catkinproxy/cli/Cli.java
+++ b/cli/src/main/java/org/catkinproxy/cli/Cli.java
@@ -81,7 +81,9 @@
             return ExitCode.USAGE;
         }
         if (command.mHelp) {
-            mOut.println("catkinctl " + kind.words() + parser.printExample(o -> true));
+            mOut.print("Usage: catkinctl " + kind.words());
+            parser.printSingleLineUsage(mOut);
+            mOut.println();
             mOut.println(kind.help());
             parser.printUsage(mOut);
             return ExitCode.OK;
--- a/cli/src/test/java/org/catkinproxy/cli/CliTest.java
+++ b/cli/src/test/java/org/catkinproxy/cli/CliTest.java
@@ -237,6 +237,16 @@
         assertThat(err()).contains("the report lacks entry-2");
     }
 
+    @Example
+    void daemonWhoseOperatorAddressIsNotKnownIsMissing() {
+        mDaemon.answer("GET /operator/burn", burn("entry-1", "engine-1", 50));
+        InstanceView unknown =
+                new InstanceView("entry-2", "entry", "127.0.0.1:1", "", "dc-1", "live", 1);
+        mDaemon.answer("GET /operator/instances", List.of(unknown));
+        assertThat(run("burn")).isEqualTo(ExitCode.UNREACHABLE);
+        assertThat(err()).contains("the report lacks entry-2");
+    }
+
     private ExitCode run(String... words) {
         Map<String, String> environment =
                 Map.of(
