--- a/core/src/main/java/org/catkinproxy/call/CallMachine.java
+++ b/core/src/main/java/org/catkinproxy/call/CallMachine.java
@@ -36,13 +36,12 @@
  * <p>Not safe for use by several threads; the owner hands in one event at a time.
  */
 public final class CallMachine {
-    private static final long POLL_MILLIS = 100;
     private static final long MAX_POLL_MILLIS = 1_000;
     private static final long MAX_BACKGROUND_MILLIS = 15_000;
-    private static final int MAX_DOUBLINGS = 16;
     private static final int BACKGROUND_STATUS_QUERIES = 20;
 
     private final CallRequest mRequest;
+    private final Backoff mBackoff = new Backoff();
     private CallPhase mPhase = CallPhase.NEW;
 
     /** What the next write puts into the row. */
@@ -57,7 +56,6 @@
     private boolean mReplied;
     private boolean mReadNext;
     private int mInstance;
-    private int mWaits;
     private int mBackgroundQueries;
 
     private CallMachine(CallRequest request) {
@@ -99,7 +97,7 @@
             return onStatus(status.answer());
         }
         if (event instanceof CallEvent.Answered answered) {
-            return onAnswer(answered.answer());
+            return replyAndRecord(answered.answer(), false);
         }
         if (event instanceof CallEvent.NotConnected failed) {
             return onNotConnected(failed.reason());
@@ -118,7 +116,7 @@
             return List.of();
         }
         mReplied = true;
-        mWaits = 0;
+        mBackoff.reset();
         return switch (mPhase) {
             case CLAIMING ->
                     List.of(
@@ -183,7 +181,7 @@
             return owned(stored.version());
         }
         if (isExpired(found)) {
-            return refuse(ErrorCode.IDEMPOTENCY_KEY_EXPIRED, outcomeOf(found));
+            return refuse(ErrorCode.IDEMPOTENCY_KEY_EXPIRED, found.outcome());
         }
         if (!found.digest().equals(mRequest.claim().digest())) {
             return refuse(ErrorCode.IDEMPOTENCY_KEY_REUSED, Outcome.NOT_RUN);
@@ -210,15 +208,6 @@
         return age > mRequest.retentionMillis();
     }
 
-    private static Outcome outcomeOf(CallRecord found) {
-        return switch (found.state()) {
-            case CLAIMED -> Outcome.UNKNOWN;
-            case RELEASED -> Outcome.NOT_RUN;
-            case DONE -> Outcome.RAN;
-            case RESOLVED -> found.resolution().get().ran() ? Outcome.RAN : Outcome.NOT_RUN;
-        };
-    }
-
     private List<CallAction> waitForOther(StoredCall stored) {
         mPhase = CallPhase.WAITING;
         mExpected = stored.version();
@@ -229,7 +218,7 @@
 
     private List<CallAction> replyFrom(CallRecord found) {
         if (found.state() == CallState.RESOLVED) {
-            return refuse(ErrorCode.CALL_RESOLVED, outcomeOf(found));
+            return refuse(ErrorCode.CALL_RESOLVED, found.outcome());
         }
         mPhase = CallPhase.ENDED;
         return mReplied
@@ -293,14 +282,10 @@
         return pause();
     }
 
-    private List<CallAction> onAnswer(CallAnswer answer) {
-        return replyAndRecord(answer, false);
-    }
-
     private List<CallAction> replyAndRecord(CallAnswer answer, boolean replayed) {
         mPhase = CallPhase.RECORDING;
         mRecord = mRecord.done(answer);
-        mWaits = 0;
+        mBackoff.reset();
         WriteRow write = new WriteRow(mExpected, mRecord);
         if (mReplied) {
             return List.of(write);
@@ -327,7 +312,7 @@
 
     private List<CallAction> onAnswerLost() {
         mPhase = CallPhase.ASKING;
-        mWaits = 0;
+        mBackoff.reset();
         if (mRequest.statusTrusted()) {
             return List.of(new AskStatus());
         }
@@ -404,8 +389,7 @@
 
     private List<CallAction> pause() {
         long longest = mReplied ? MAX_BACKGROUND_MILLIS : MAX_POLL_MILLIS;
-        long delay = POLL_MILLIS << Math.min(mWaits++, MAX_DOUBLINGS);
-        return List.of(new SetTimer(Math.min(longest, delay)));
+        return List.of(new SetTimer(mBackoff.nextMillis(longest)));
     }
 
     private List<CallAction> end() {
--- a/core/src/main/java/org/catkinproxy/call/CallRecord.java
+++ b/core/src/main/java/org/catkinproxy/call/CallRecord.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import org.catkinproxy.error.Outcome;
 import org.catkinproxy.id.AttemptId;
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.ServiceId;
@@ -103,6 +104,16 @@
         return state == CallState.DONE || state == CallState.RESOLVED;
     }
 
+    /** Returns what the record tells of whether the call ran. */
+    public Outcome outcome() {
+        return switch (state) {
+            case CLAIMED -> Outcome.UNKNOWN;
+            case RELEASED -> Outcome.NOT_RUN;
+            case DONE -> Outcome.RAN;
+            case RESOLVED -> resolution.orElseThrow().ran() ? Outcome.RAN : Outcome.NOT_RUN;
+        };
+    }
+
     private CallRecord with(
             CallState next, Optional<CallAnswer> result, Optional<CallResolution> word) {
         return new CallRecord(
