--- a/core/src/main/java/org/catkinproxy/route/Dispatcher.java
+++ b/core/src/main/java/org/catkinproxy/route/Dispatcher.java
@@ -146,6 +146,10 @@
             refuse(request.id(), ErrorCode.RATE_LIMITED);
             return;
         }
+        if (mQueue.isBehindOverdue(nowNanos, request)) {
+            refuse(request.id(), ErrorCode.DEADLINE_UNREACHABLE);
+            return;
+        }
         mQueue.add(new Waiting(request, Set.copyOf(event.excluded()), nowNanos));
         dispatchWaiting(nowNanos);
         if (mQueue.size() > mSettings.maxQueued()) {
--- a/core/src/main/java/org/catkinproxy/route/FairLane.java
+++ b/core/src/main/java/org/catkinproxy/route/FairLane.java
@@ -47,6 +47,12 @@
         }
     }
 
+    /** Returns the request of a workspace that has waited longest, or null. */
+    Waiting oldest(WorkspaceId workspace) {
+        Flow flow = mFlows.get(workspace);
+        return flow == null ? null : flow.mWaiting.peekFirst();
+    }
+
     int size() {
         return mSize;
     }
--- a/core/src/main/java/org/catkinproxy/route/LoadEstimate.java
+++ b/core/src/main/java/org/catkinproxy/route/LoadEstimate.java
@@ -1,5 +1,6 @@
 package org.catkinproxy.route;
 
+import org.catkinproxy.cache.PromptBlocks;
 import org.catkinproxy.config.Priority;
 import org.catkinproxy.id.InstanceId;
 
@@ -123,7 +124,8 @@
      * of what this router has in flight there and has sent before.
      */
     long queueNanos(long nowNanos, Priority priority) {
-        double prefill = backlogNanos(nowNanos) * shareAhead(priority);
+        double all = backlogNanos(nowNanos);
+        double prefill = Math.max(Math.min(all, chunkNanos()), all * shareAhead(priority));
         return (long) Math.max(prefill, slotNanos());
     }
 
@@ -136,6 +138,12 @@
         return tokens / mReport.prefillTokensPerSecond() * NANOS_PER_SECOND;
     }
 
+    /** Returns the mean rest of a chunk that is being computed; it is not interrupted. */
+    private double chunkNanos() {
+        double tokens = PromptBlocks.TOKENS_PER_BLOCK / 2.0;
+        return tokens / mReport.prefillTokensPerSecond() * NANOS_PER_SECOND;
+    }
+
     private double shareAhead(Priority priority) {
         double ahead = 0;
         double all = 0;
--- a/core/src/main/java/org/catkinproxy/route/RoutingPolicy.java
+++ b/core/src/main/java/org/catkinproxy/route/RoutingPolicy.java
@@ -5,20 +5,23 @@
 /** How an engine is chosen among those that are fit. Immutable. */
 public enum RoutingPolicy {
     /** Weighs cached prefixes first, as long as the wait stays bearable. */
-    HIT_FIRST(3, 2, 0.3),
+    HIT_FIRST(3, 2, 3, 0.3),
     /** Weighs the expected time to the first token first. */
-    TAIL_FIRST(2, 2, 0.5);
+    TAIL_FIRST(2, 2, 1, 0.5);
 
-    /** From this mean backlog on, recomputing costs most. */
+    /** The mean backlog that adds the busy weight once. */
     private static final double BUSY_BACKLOG_NANOS = 5e8;
 
     private final double mRecomputeWeight;
     private final double mBusyWeight;
+    private final double mMaxBusy;
     private final double mUnknownDiscount;
 
-    RoutingPolicy(double recomputeWeight, double busyWeight, double unknownDiscount) {
+    RoutingPolicy(
+            double recomputeWeight, double busyWeight, double maxBusy, double unknownDiscount) {
         mRecomputeWeight = recomputeWeight;
         mBusyWeight = busyWeight;
+        mMaxBusy = maxBusy;
         mUnknownDiscount = unknownDiscount;
     }
 
@@ -32,7 +35,8 @@
      * @param backlogNanos the mean time to compute all prompts that an engine has
      */
     double recomputeWeight(double backlogNanos) {
-        return mRecomputeWeight + mBusyWeight * Math.min(1, backlogNanos / BUSY_BACKLOG_NANOS);
+        return mRecomputeWeight
+                + mBusyWeight * Math.min(mMaxBusy, backlogNanos / BUSY_BACKLOG_NANOS);
     }
 
     /** Returns the share of the computing that counts where an unknown prefix is sent by hash. */
--- a/core/src/main/java/org/catkinproxy/route/WaitQueue.java
+++ b/core/src/main/java/org/catkinproxy/route/WaitQueue.java
@@ -21,6 +21,9 @@
     /** After so many dispatches of higher priority, one of a lower one goes first. */
     private static final int MAX_PASSED_OVER = 7;
 
+    /** What part of its time a request may wait here. */
+    private static final double MAX_WAIT_SHARE = 0.2;
+
     private final Map<Priority, FairLane> mLanes = new EnumMap<>(Priority.class);
     private final Map<Priority, Integer> mPassedOver = new EnumMap<>(Priority.class);
     private final Map<RequestId, Waiting> mById = new LinkedHashMap<>();
@@ -45,6 +48,17 @@
         mShares = shares;
     }
 
+    /**
+     * Tells whether a request would wait behind one of its workspace and priority that has waited
+     * for a large part of the time which the new one has: it would be computed too late, and be
+     * wasted.
+     */
+    boolean isBehindOverdue(long nowNanos, RouteRequest request) {
+        Waiting oldest = mLanes.get(request.priority()).oldest(request.workspace());
+        double patience = MAX_WAIT_SHARE * (request.deadlineNanos() - nowNanos);
+        return oldest != null && nowNanos - oldest.mArrivedNanos > patience;
+    }
+
     void add(Waiting waiting) {
         mById.put(waiting.mRequest.id(), waiting);
         mLanes.get(waiting.mRequest.priority()).add(waiting);
