--- a/bench/src/main/java/org/catkinproxy/demo/DemoMain.java
+++ b/bench/src/main/java/org/catkinproxy/demo/DemoMain.java
@@ -47,7 +47,7 @@
 
     private boolean run() throws IOException {
         Path directory = Files.createTempDirectory("catkinproxy-demo");
-        Cluster cluster = Cluster.create(ClusterOptions.small(directory, mBasePort, 1));
+        Cluster cluster = Cluster.create(ClusterOptions.small(directory, mBasePort, 0));
         Runtime.getRuntime().addShutdownHook(new Thread(cluster::close, "end"));
         System.out.println("Settings and logs are in " + directory);
         Checks checks = new Checks();
--- a/bench/src/main/java/org/catkinproxy/load/LoadMain.java
+++ b/bench/src/main/java/org/catkinproxy/load/LoadMain.java
@@ -70,7 +70,7 @@
 
     private boolean run() throws IOException, InterruptedException {
         Path directory = Files.createTempDirectory("catkinproxy-load");
-        Cluster cluster = Cluster.create(ClusterOptions.small(directory, mBasePort, 1));
+        Cluster cluster = Cluster.create(ClusterOptions.small(directory, mBasePort, 0));
         Runtime.getRuntime().addShutdownHook(new Thread(cluster::close, "end"));
         System.out.println("Settings and logs are in " + directory);
         cluster.start();
