Show more of the failures of a run and let daemons load the weights in it

Steps now wait for their target, begin more often, and engines start without weights. A leaving engine is listed again once the list can be written; with the list down the engine was left dead until the end.

--- a/bench/src/main/java/org/catkinproxy/chaos/ChaosMain.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/ChaosMain.java
@@ -22,7 +22,6 @@
     private static final int STREAM_WORKERS = 10;
     private static final int FILING_WORKERS = 5;
     private static final Duration SETTLE = Duration.ofSeconds(20);
-    private static final int PRELOADED = 64;
     private static final int BASE_PORT = 19_000;
 
     @Option(name = "--seed", metaVar = "N", usage = "decides the failures")
@@ -68,7 +67,7 @@
             return true;
         }
         Path directory = Files.createTempDirectory("catkinproxy-chaos");
-        Cluster cluster = Cluster.create(ClusterOptions.small(directory, mBasePort, PRELOADED));
+        Cluster cluster = Cluster.create(ClusterOptions.small(directory, mBasePort, 0));
         Runtime.getRuntime().addShutdownHook(new Thread(cluster::close, "end"));
         System.out.println("Settings and logs are in " + directory);
         cluster.start();
--- a/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
@@ -21,8 +21,7 @@
     private LeavingEngine() {}
 
     static void run(Scene scene, Member engine) {
-        if (!scene.hold(engine)) {
-            scene.ledger().note("skipped: " + engine.id() + " is disturbed already");
+        if (!scene.holdSoon(engine)) {
             return;
         }
         long start = System.nanoTime();
--- a/bench/src/main/java/org/catkinproxy/chaos/PlannedStop.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/PlannedStop.java
@@ -29,8 +29,7 @@
     private PlannedStop() {}
 
     static void run(Scene scene, Member daemon) {
-        if (!scene.hold(daemon)) {
-            scene.ledger().note("skipped: " + daemon.id() + " is disturbed already");
+        if (!scene.holdSoon(daemon)) {
             return;
         }
         ExecutorService threads = Executors.newFixedThreadPool(STREAMS);
--- a/bench/src/main/java/org/catkinproxy/chaos/ProcessFaults.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/ProcessFaults.java
@@ -23,7 +23,7 @@
     private ProcessFaults() {}
 
     static void pause(Scene scene, Member member, Duration length) {
-        if (!held(scene, member)) {
+        if (!scene.holdSoon(member)) {
             return;
         }
         try {
@@ -36,7 +36,7 @@
     }
 
     static void killEngine(Scene scene, Member engine, Duration length) {
-        if (!held(scene, engine)) {
+        if (!scene.holdSoon(engine)) {
             return;
         }
         try {
@@ -49,7 +49,7 @@
     }
 
     static void killDaemon(Scene scene, Member daemon, Duration length) {
-        if (!held(scene, daemon)) {
+        if (!scene.holdSoon(daemon)) {
             return;
         }
         try {
@@ -66,7 +66,7 @@
     /** Kills every daemon that is not disturbed otherwise, and starts them with the store down. */
     static void killAllDaemons(Scene scene, Duration length) {
         Member platform = scene.cluster().platform();
-        if (!held(scene, platform)) {
+        if (!scene.holdSoon(platform)) {
             return;
         }
         List<Member> daemons = scene.cluster().daemons().stream().filter(scene::hold).toList();
@@ -102,12 +102,4 @@
         String evidence = daemon.id() + " is ready and answers " + outcome;
         scene.ledger().check(Promise.RESTART_SERVES, outcome.isDone(), evidence);
     }
-
-    private static boolean held(Scene scene, Member member) {
-        boolean held = scene.hold(member);
-        if (!held) {
-            scene.ledger().note("skipped: " + member.id() + " is disturbed already");
-        }
-        return held;
-    }
 }
--- a/bench/src/main/java/org/catkinproxy/chaos/Scene.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/Scene.java
@@ -4,12 +4,16 @@
 import org.catkinproxy.demo.Member;
 import org.catkinproxy.demo.Operator;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 /** What all parts of a run share. Safe for use by any thread. */
 final class Scene {
+    private static final Duration HOLD_LIMIT = Duration.ofSeconds(12);
+    private static final Duration HOLD_POLL = Duration.ofMillis(100);
+
     private final Cluster mCluster;
     private final Operator mOperator = new Operator();
     private final Ledger mLedger = new Ledger();
@@ -62,6 +66,19 @@
         return held;
     }
 
+    /** Waits a while for {@link #hold}; says so if the member stays taken. */
+    boolean holdSoon(Member member) {
+        long end = System.nanoTime() + HOLD_LIMIT.toNanos();
+        while (!hold(member)) {
+            if (System.nanoTime() - end > 0) {
+                mLedger.note("skipped: " + member.id() + " stays disturbed");
+                return false;
+            }
+            Cluster.sleep(HOLD_POLL);
+        }
+        return true;
+    }
+
     void release(Member member) {
         disturbed(member);
         mHeld.remove(member.id());
--- a/bench/src/main/java/org/catkinproxy/chaos/Schedule.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/Schedule.java
@@ -10,7 +10,7 @@
 final class Schedule {
     private static final int FIRST_MS = 3_000;
     private static final int MIN_GAP_MS = 500;
-    private static final int GAP_SPREAD_MS = 4_000;
+    private static final int GAP_SPREAD_MS = 2_500;
     private static final int MIN_LENGTH_MS = 500;
     private static final int LENGTH_SPREAD_MS = 6_000;
     private static final int MAX_TARGET = 1_000;
--- a/bench/src/main/java/org/catkinproxy/chaos/StandinFaults.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/StandinFaults.java
@@ -24,8 +24,7 @@
 
     private static void show(
             Scene scene, Member member, FaultStep step, String name, double probability) {
-        if (!scene.hold(member)) {
-            scene.ledger().note("skipped: " + member.id() + " is disturbed already");
+        if (!scene.holdSoon(member)) {
             return;
         }
         try {
--- a/bench/src/main/java/org/catkinproxy/demo/Cluster.java
+++ b/bench/src/main/java/org/catkinproxy/demo/Cluster.java
@@ -94,7 +94,7 @@
         return mOptions.directory();
     }
 
-    /** Writes a member into the platform's list, {@code live} or {@code leaving}. */
+    /** Writes a member into the platform's list, {@code live} or {@code leaving}, once it can. */
     public void list(Member member, String state) {
         ObjectNode body = Web.JSON.createObjectNode();
         body.put("kind", member.kind()).put("address", member.address());
@@ -105,7 +105,7 @@
                         .url(mPlatform.url() + "/instances/" + member.id())
                         .put(Web.json(body))
                         .build();
-        sendChecked(request, member.id());
+        await("the list to take " + member.id(), () -> isSent(request));
     }
 
     /** Tells a stand-in to show a fault; the body is that of {@code POST /admin/fault}. */
@@ -125,12 +125,7 @@
 
     /** Tells whether a GET of {@code path} is answered with success. */
     public boolean isListening(Member member, String path) {
-        try {
-            Request request = new Request.Builder().url(member.url() + path).build();
-            return Web.send(mHttp, request).isSuccess();
-        } catch (IOException e) {
-            return false;
-        }
+        return isSent(new Request.Builder().url(member.url() + path).build());
     }
 
     /** Waits until a condition holds. */
@@ -254,6 +249,14 @@
         sendChecked(request, member.id());
     }
 
+    private boolean isSent(Request request) {
+        try {
+            return Web.send(mHttp, request).isSuccess();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private void sendChecked(Request request, String about) {
         try {
             Web.Answer answer = Web.send(mHttp, request);
