--- a/bench/src/main/java/org/catkinproxy/chaos/ProcessFaults.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/ProcessFaults.java
@@ -94,12 +94,26 @@
             }
             Cluster.sleep(POLL);
         }
+        StreamOutcome outcome = probe(scene, daemon);
+        if (!outcome.isDone()
+                && scene.cluster().daemons().stream().noneMatch(d -> serves(scene, d))) {
+            scene.ledger().outcome("restarted daemon refuses as all others do: " + outcome.error());
+            return;
+        }
+        String evidence = daemon.id() + " is ready and answers " + outcome;
+        scene.ledger().check(Promise.RESTART_SERVES, outcome.isDone(), evidence);
+    }
+
+    private static boolean serves(Scene scene, Member daemon) {
+        return probe(scene, daemon).isDone();
+    }
+
+    private static StreamOutcome probe(Scene scene, Member daemon) {
         Caller caller = new Caller(List.of(daemon.address()), DemoSheet.keyOf("coatings"));
         String prompt = Prompts.text("probe " + System.nanoTime(), PROBE_BYTES);
         long start = System.nanoTime();
         StreamOutcome outcome = caller.completeAt(daemon.address(), prompt, PROBE_TOKENS);
         scene.streams().check(prompt, PROBE_TOKENS, start, outcome);
-        String evidence = daemon.id() + " is ready and answers " + outcome;
-        scene.ledger().check(Promise.RESTART_SERVES, outcome.isDone(), evidence);
+        return outcome;
     }
 }
