--- a/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
@@ -43,6 +43,7 @@
             engine.process().kill();
             scene.cluster().list(engine, "live");
             engine.process().start();
+            Cluster.await(engine.id(), () -> scene.cluster().isListening(engine, "/v1/load"));
             scene.release(engine);
         }
     }
--- a/bench/src/main/java/org/catkinproxy/chaos/ProcessFaults.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/ProcessFaults.java
@@ -44,6 +44,7 @@
             Cluster.sleep(length);
         } finally {
             engine.process().start();
+            Cluster.await(engine.id(), () -> scene.cluster().isListening(engine, "/v1/load"));
             scene.release(engine);
         }
     }
