--- a/cli/src/main/java/org/catkinproxy/cli/CallsListCommand.java
+++ b/cli/src/main/java/org/catkinproxy/cli/CallsListCommand.java
@@ -1,20 +1,15 @@
 package org.catkinproxy.cli;
 
 import org.catkinproxy.admin.CallView;
-import org.kohsuke.args4j.Option;
 
 import java.time.Duration;
 import java.util.List;
 
-/** Lists calls that may run once. Used for one run by one thread. */
+/** Lists the calls whose outcome is unknown, the oldest first. Used for one run by one thread. */
 final class CallsListCommand extends Command {
-    @Option(name = "--all", usage = "list settled calls too")
-    private boolean mAll;
-
     @Override
     void run(Session session) {
-        String path = "/operator/calls?state=" + (mAll ? "all" : "open");
-        List<CallView> calls = session.client().list(path, CallView.class);
+        List<CallView> calls = session.client().list("/operator/calls?state=open", CallView.class);
         session.print(calls, table(calls));
     }
 
--- a/cli/src/main/java/org/catkinproxy/cli/StopCommand.java
+++ b/cli/src/main/java/org/catkinproxy/cli/StopCommand.java
@@ -1,7 +1,9 @@
 package org.catkinproxy.cli;
 
-import org.catkinproxy.admin.InstanceView;
+import org.catkinproxy.admin.InstanceStatus;
 import org.catkinproxy.admin.StopView;
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
@@ -18,9 +20,10 @@
     @Override
     void run(Session session) {
         OperatorClient client = session.client();
-        StopView stop = client.postMessage("/operator/stop/" + mInstance, "", StopView.class);
+        String asked = client.get("/operator/status", InstanceStatus.class).instance();
+        StopView stop = ask(client);
         session.print(stop, stop.instance() + " is " + stop.state());
-        if (mWait && !session.waitUntil(() -> hasLeft(client))) {
+        if (mWait && !session.waitUntil(() -> hasLeft(client, asked))) {
             throw new CliException(
                     ExitCode.TIMED_OUT,
                     mInstance
@@ -28,11 +31,25 @@
                             + session.timeout().toSeconds()
                             + " s: it still ends its requests. Repeat with a longer --timeout.");
         }
+        if (mWait) {
+            session.progress(mInstance + " has left");
+        }
+    }
+
+    /** Asks for the stop; asked again, the daemon tells how far it has come. */
+    private StopView ask(OperatorClient client) {
+        return client.postMessage("/operator/stop/" + mInstance, "", StopView.class);
     }
 
-    private boolean hasLeft(OperatorClient client) {
-        return client.list("/operator/instances", InstanceView.class).stream()
-                .filter(i -> i.instance().equals(mInstance))
-                .allMatch(i -> i.state().equals(LEFT));
+    private boolean hasLeft(OperatorClient client, String asked) {
+        try {
+            return ask(client).state().equals(LEFT);
+        } catch (CatkinException e) {
+            boolean gone = e.code() == ErrorCode.PEER_UNREACHABLE && mInstance.equals(asked);
+            if (gone || e.code() == ErrorCode.NOT_FOUND) {
+                return true;
+            }
+            throw e;
+        }
     }
 }
--- a/cli/src/test/java/org/catkinproxy/cli/CliTest.java
+++ b/cli/src/test/java/org/catkinproxy/cli/CliTest.java
@@ -170,12 +170,16 @@
 
     @Example
     void stopWaitsUntilTheInstanceHasLeft() {
+        mDaemon.answer(
+                "GET /operator/status",
+                new InstanceStatus("entry-1", "dc-1", "serving", true, 3, 6, 5, 2));
         mDaemon.answer("POST /operator/stop/engine-1", new StopView("engine-1", "leaving", 3));
-        mDaemon.answer("GET /operator/instances", List.of(instance("engine-1", "leaving", "")));
+        assertThat(run("stop", "engine-1")).isEqualTo(ExitCode.OK);
         assertThat(run("stop", "engine-1", "--wait", "--timeout", "0"))
                 .isEqualTo(ExitCode.TIMED_OUT);
-        mDaemon.answer("GET /operator/instances", List.of(instance("engine-1", "left", "")));
+        mDaemon.answer("POST /operator/stop/engine-1", new StopView("engine-1", "left", 0));
         assertThat(run("stop", "engine-1", "--wait")).isEqualTo(ExitCode.OK);
+        assertThat(err()).contains("engine-1 has left");
     }
 
     @Example
--- a/daemon/src/main/java/org/catkinproxy/daemon/CallTableAdmin.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/CallTableAdmin.java
@@ -23,7 +23,7 @@
     }
 
     @Override
-    public Single<List<org.catkinproxy.admin.CallView>> list(boolean openOnly) {
+    public Single<List<org.catkinproxy.admin.CallView>> open() {
         return mCalls.open(LIST_LIMIT)
                 .map(calls -> calls.stream().map(CallTableAdmin::view).toList());
     }
--- a/daemon/src/main/java/org/catkinproxy/daemon/EngineViews.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/EngineViews.java
@@ -13,6 +13,8 @@
 
 /** Shows operators the engines that this instance watches. Stateless; thread-safe. */
 final class EngineViews {
+    private static final String LEAVING = "leaving";
+
     private EngineViews() {}
 
     static List<EngineView> of(EngineFleet fleet) {
@@ -27,7 +29,7 @@
             return new EngineView(
                     endpoint.engine().value(),
                     endpoint.pool().value(),
-                    endpoint.leaving() ? "leaving" : "unknown",
+                    endpoint.leaving() ? LEAVING : "unknown",
                     "",
                     0,
                     0,
@@ -40,7 +42,7 @@
         return new EngineView(
                 endpoint.engine().value(),
                 endpoint.pool().value(),
-                seen.get().answering() ? "live" : "silent",
+                state(endpoint, seen.get()),
                 report.incarnation().value(),
                 report.running(),
                 report.queued(),
@@ -48,4 +50,11 @@
                 age + report.ageMillis(),
                 report.weights().stream().map(Weights::toString).sorted().toList());
     }
+
+    private static String state(EngineEndpoint endpoint, SeenReport seen) {
+        if (!seen.answering()) {
+            return "silent";
+        }
+        return endpoint.leaving() ? LEAVING : "live";
+    }
 }
--- a/daemon/src/main/java/org/catkinproxy/daemon/OperatorSide.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/OperatorSide.java
@@ -63,7 +63,7 @@
                         fleet,
                         new ConfigSheets(config, this::revisions),
                         new CallTableAdmin(calls),
-                        new MembershipStops(membership, engines),
+                        new MembershipStops(membership, engines, dispatch),
                         new DispatchExplainer(
                                 config::current, dispatch, settings.dispatch().policy()),
                         this::burn,
--- a/daemon/src/main/java/org/catkinproxy/operator/CallAdmin.java
+++ b/daemon/src/main/java/org/catkinproxy/operator/CallAdmin.java
@@ -15,8 +15,8 @@
  * for use by any thread.
  */
 public interface CallAdmin {
-    /** Reads calls, the oldest first; with {@code openOnly} only those whose outcome is unknown. */
-    Single<List<CallView>> list(boolean openOnly);
+    /** Reads the calls whose outcome is unknown, the oldest first. */
+    Single<List<CallView>> open();
 
     /** Reads a call; empty if its key was never claimed. */
     Maybe<CallView> find(CallKey key);
--- a/daemon/src/main/java/org/catkinproxy/operator/CallHandlers.java
+++ b/daemon/src/main/java/org/catkinproxy/operator/CallHandlers.java
@@ -15,7 +15,6 @@
  */
 final class CallHandlers {
     private static final String OPEN = "open";
-    private static final String ALL = "all";
 
     private final CallAdmin mCalls;
 
@@ -24,10 +23,10 @@
     }
 
     List<CallView> list(String state) {
-        if (!state.equals(OPEN) && !state.equals(ALL)) {
-            throw OperatorJson.malformed("state: found '" + state + "', wants open or all");
+        if (!state.equals(OPEN)) {
+            throw OperatorJson.malformed("state: found '" + state + "', wants open");
         }
-        return Waiting.await(mCalls.list(state.equals(OPEN)));
+        return Waiting.await(mCalls.open());
     }
 
     CallView show(String workspace, String key) {
--- a/daemon/src/test/java/org/catkinproxy/operator/FakeOperatorPorts.java
+++ b/daemon/src/test/java/org/catkinproxy/operator/FakeOperatorPorts.java
@@ -98,7 +98,7 @@
     }
 
     @Override
-    public Single<List<CallView>> list(boolean openOnly) {
+    public Single<List<CallView>> open() {
         return Single.just(List.of());
     }
 
