--- a/daemon/src/main/java/org/catkinproxy/daemon/OperatorSide.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/OperatorSide.java
@@ -8,6 +8,7 @@
 import org.catkinproxy.dispatch.DispatchTask;
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.Revision;
+import org.catkinproxy.member.MemberState;
 import org.catkinproxy.membership.MembershipTask;
 import org.catkinproxy.observe.Metrics;
 import org.catkinproxy.observe.ServiceLevels;
@@ -21,6 +22,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.IntSupplier;
 
 /**
@@ -77,22 +79,32 @@
                 settings.burnWindows().longWindow().toMillis());
     }
 
-    /** Asks all peers; one that does not answer is shown with no revision. */
+    /**
+     * Asks all peers; one that does not answer is shown with no revision, unless it has left: it
+     * serves nobody, though the platform may list it for a while.
+     */
     private List<RevisionView> revisions() {
         List<RevisionView> views = new ArrayList<>();
         views.add(view(settings.instance(), config.current().revision()));
         peers.revisions()
                 .blockingGet()
                 .forEach(
-                        (peer, said) ->
-                                views.add(
-                                        view(
-                                                peer,
-                                                said.map(PeerLink.Said::revision)
-                                                        .orElse(Revision.NONE))));
+                        (peer, said) -> {
+                            if (said.isPresent() || !hasLeft(peer)) {
+                                views.add(view(peer, said));
+                            }
+                        });
         return views;
     }
 
+    private boolean hasLeft(InstanceId peer) {
+        return membership.view().find(peer).map(MemberState::leaving).orElse(true);
+    }
+
+    private static RevisionView view(InstanceId peer, Optional<PeerLink.Said> said) {
+        return view(peer, said.map(PeerLink.Said::revision).orElse(Revision.NONE));
+    }
+
     private static RevisionView view(InstanceId instance, Revision revision) {
         return new RevisionView(instance.value(), revision.value());
     }
--- a/daemon/src/test/java/org/catkinproxy/daemon/OperatorPathTest.java
+++ b/daemon/src/test/java/org/catkinproxy/daemon/OperatorPathTest.java
@@ -61,6 +61,29 @@
         TestCluster.await(() -> operatorAddresses(1).equals(wanted));
     }
 
+    @Example
+    void daemonThatLeftIsNotCountedAsBehind() throws IOException {
+        try (TestCluster cluster = TestCluster.start(1, 2, EngineOptions.DEFAULT)) {
+            TestCluster.await(() -> revisions(cluster).equals(Set.of("entry-0", "entry-1")));
+            cluster.daemon(1).stop();
+            cluster.daemon(1).left().blockingAwait();
+            cluster.daemon(1).close();
+            TestCluster.await(() -> revisions(cluster).equals(Set.of("entry-0")));
+        }
+    }
+
+    private static Set<String> revisions(TestCluster cluster) {
+        Set<String> instances = new HashSet<>();
+        try {
+            for (JsonNode r : MAPPER.readTree(get(cluster, 0, "/operator/revisions"))) {
+                instances.add(r.path("instance").textValue());
+            }
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+        return instances;
+    }
+
     private static Set<String> operatorAddresses(int daemon) {
         Set<String> addresses = new HashSet<>();
         try {
@@ -76,12 +99,16 @@
     }
 
     private static String get(int daemon, String path) throws IOException {
+        return get(sCluster, daemon, path);
+    }
+
+    private static String get(TestCluster cluster, int daemon, String path) throws IOException {
         Request request =
                 new Request.Builder()
-                        .url("http://127.0.0.1:" + sCluster.daemon(daemon).operatorPort() + path)
+                        .url("http://127.0.0.1:" + cluster.daemon(daemon).operatorPort() + path)
                         .header("Authorization", "Bearer " + TestCluster.KEY_OPERATOR)
                         .build();
-        try (Response response = sCluster.client().newCall(request).execute()) {
+        try (Response response = cluster.client().newCall(request).execute()) {
             assertThat(response.code()).isEqualTo(200);
             return response.body().string();
         }
