--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/route/CacheFeedDifferentialTest.java
@@ -0,0 +1,137 @@
+package org.catkinproxy.route;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import org.catkinproxy.cache.BlockIndex;
+import org.catkinproxy.cache.PrefixMatch;
+import org.catkinproxy.id.BlockKey;
+import org.catkinproxy.id.EngineId;
+import org.catkinproxy.id.Incarnation;
+import org.catkinproxy.route.RouteEvent.CacheChange;
+import org.catkinproxy.route.RouteEvent.CacheChanged;
+import org.catkinproxy.route.RouteEvent.CacheSnapshot;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+/** The feed of cache events against what the engine really holds at each sequence number. */
+class CacheFeedDifferentialTest {
+    private static final int KEYS = 8;
+    private static final int STEPS = 60;
+    private static final EngineId ENGINE = EngineId.of("engine");
+    private static final Incarnation INCARNATION = Incarnation.of("start");
+
+    @Property(seed = "20261204", tries = 2_000)
+    void feedThatSuspectsNothingKnowsTheCache(
+            @ForAll long seed, @ForAll @IntRange(min = 0, max = 50) int lossPercent) {
+        assertThat(firstDifference(seed, lossPercent, true)).isEmpty();
+    }
+
+    /** Shows that the check above can fail: without snapshots and suspicion, losses go unseen. */
+    @Example
+    void feedThatIgnoresGapsIsCaught() {
+        long caught = 0;
+        for (int seed = 0; seed < 50; seed++) {
+            caught += firstDifference(seed, 30, false).isEmpty() ? 0 : 1;
+        }
+        assertThat(caught).isGreaterThan(0L);
+    }
+
+    @Example
+    void restartForgetsEverything() {
+        BlockIndex index = BlockIndex.create();
+        CacheFeed feed = new CacheFeed(index, 0, new Residence());
+        feed.apply(1, event(1, CacheChange.STORED, 3));
+        feed.restart();
+        assertThat(held(index)).isEmpty();
+    }
+
+    /** Returns what is wrong first, empty if nothing is. */
+    private static String firstDifference(long seed, int lossPercent, boolean heedsGaps) {
+        Random random = new Random(seed);
+        BlockIndex index = BlockIndex.create();
+        CacheFeed feed = new CacheFeed(index, 0, new Residence());
+        List<Set<Integer>> truth = new ArrayList<>(List.of(Set.of()));
+        int delivered = 0;
+        for (int step = 1; step <= STEPS; step++) {
+            CacheChanged change = anyChange(random, step);
+            truth.add(after(truth.get(step - 1), change));
+            boolean lost = random.nextInt(100) < lossPercent;
+            if (!lost) {
+                delivered++;
+                feed.apply(step, heedsGaps ? change : renumbered(change, delivered));
+            }
+            if (feed.isSuspect() && random.nextBoolean()) {
+                int taken = Math.max(0, step - random.nextInt(3));
+                feed.replace(step, snapshot(taken, truth.get(taken)));
+            }
+            boolean claims = heedsGaps ? !feed.isSuspect() && !lost : !lost;
+            if (claims && !held(index).equals(truth.get(step))) {
+                return "step " + step + ": " + held(index) + " for " + truth.get(step);
+            }
+        }
+        return "";
+    }
+
+    /** Hides the gap, as a feed does that does not look at the numbers. */
+    private static CacheChanged renumbered(CacheChanged change, int sequence) {
+        return new CacheChanged(ENGINE, INCARNATION, sequence, change.change(), change.blocks());
+    }
+
+    private static CacheChanged anyChange(Random random, int sequence) {
+        int kind = random.nextInt(10);
+        CacheChange change =
+                kind == 0
+                        ? CacheChange.CLEARED
+                        : kind < 6 ? CacheChange.STORED : CacheChange.EVICTED;
+        return event(sequence, change, random.nextInt(KEYS));
+    }
+
+    private static CacheChanged event(long sequence, CacheChange change, int key) {
+        return new CacheChanged(ENGINE, INCARNATION, sequence, change, List.of(key(key)));
+    }
+
+    private static Set<Integer> after(Set<Integer> before, CacheChanged change) {
+        Set<Integer> now = new HashSet<>(before);
+        int key = (int) change.blocks().get(0).low();
+        switch (change.change()) {
+            case STORED -> now.add(key);
+            case EVICTED -> now.remove(key);
+            case CLEARED -> now.clear();
+            default -> throw new AssertionError(change);
+        }
+        return now;
+    }
+
+    private static CacheSnapshot snapshot(long sequence, Set<Integer> keys) {
+        return new CacheSnapshot(
+                ENGINE,
+                INCARNATION,
+                sequence,
+                keys.stream().map(CacheFeedDifferentialTest::key).toList());
+    }
+
+    private static Set<Integer> held(BlockIndex index) {
+        PrefixMatch match = PrefixMatch.create();
+        Set<Integer> held = new HashSet<>();
+        for (int key = 0; key < KEYS; key++) {
+            index.match(List.of(key(key)), STEPS, match);
+            if (match.blocks(0) == 1) {
+                held.add(key);
+            }
+        }
+        return held;
+    }
+
+    private static BlockKey key(int number) {
+        return new BlockKey(number + 1, number);
+    }
+}
