--- a/bench/src/main/java/org/catkinproxy/chaos/ChaosMain.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/ChaosMain.java
@@ -67,7 +67,7 @@
             return true;
         }
         Path directory = Files.createTempDirectory("catkinproxy-chaos");
-        Cluster cluster = Cluster.create(ClusterOptions.small(directory, mBasePort));
+        Cluster cluster = Cluster.create(ClusterOptions.small(directory, mBasePort, 0));
         Runtime.getRuntime().addShutdownHook(new Thread(cluster::close, "end"));
         System.out.println("Settings and logs are in " + directory);
         cluster.start();
@@ -80,7 +80,7 @@
         scene.end();
         threads.shutdown();
         threads.awaitTermination(2, TimeUnit.MINUTES);
-        scene.filings().audit(cluster.services(), scene.ledger());
+        scene.filings().audit(FilingBook.executions(cluster.services()), scene.ledger());
         return scene.ledger().print();
     }
 
--- a/cli/src/test/java/org/catkinproxy/cli/CliTest.java
+++ b/cli/src/test/java/org/catkinproxy/cli/CliTest.java
@@ -170,12 +170,16 @@
 
     @Example
     void stopWaitsUntilTheInstanceHasLeft() {
+        mDaemon.answer(
+                "GET /operator/status",
+                new InstanceStatus("entry-1", "dc-1", "serving", true, 3, 6, 5, 2));
         mDaemon.answer("POST /operator/stop/engine-1", new StopView("engine-1", "leaving", 3));
-        mDaemon.answer("GET /operator/instances", List.of(instance("engine-1", "leaving", "")));
+        assertThat(run("stop", "engine-1")).isEqualTo(ExitCode.OK);
         assertThat(run("stop", "engine-1", "--wait", "--timeout", "0"))
                 .isEqualTo(ExitCode.TIMED_OUT);
-        mDaemon.answer("GET /operator/instances", List.of(instance("engine-1", "left", "")));
+        mDaemon.answer("POST /operator/stop/engine-1", new StopView("engine-1", "left", 0));
         assertThat(run("stop", "engine-1", "--wait")).isEqualTo(ExitCode.OK);
+        assertThat(err()).contains("engine-1 has left");
     }
 
     @Example
@@ -237,6 +241,16 @@
         assertThat(err()).contains("the report lacks entry-2");
     }
 
+    @Example
+    void daemonWhoseOperatorAddressIsNotKnownIsMissing() {
+        mDaemon.answer("GET /operator/burn", burn("entry-1", "engine-1", 50));
+        InstanceView unknown =
+                new InstanceView("entry-2", "entry", "127.0.0.1:1", "", "dc-1", "live", 1);
+        mDaemon.answer("GET /operator/instances", List.of(unknown));
+        assertThat(run("burn")).isEqualTo(ExitCode.UNREACHABLE);
+        assertThat(err()).contains("the report lacks entry-2");
+    }
+
     private ExitCode run(String... words) {
         Map<String, String> environment =
                 Map.of(
--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -2,48 +2,44 @@
 
 import com.google.common.base.Ticker;
 
-import org.catkinproxy.admin.BurnMessage;
-import org.catkinproxy.admin.RevisionView;
 import org.catkinproxy.caller.ActiveRequests;
 import org.catkinproxy.caller.CallerApi;
 import org.catkinproxy.caller.CallerLimits;
-import org.catkinproxy.caller.EntryDirectory;
 import org.catkinproxy.caller.Gate;
 import org.catkinproxy.calls.CallAdmin;
 import org.catkinproxy.calls.CallRunner;
 import org.catkinproxy.calls.CallSettings;
+import org.catkinproxy.calls.CallSweeper;
 import org.catkinproxy.config.Configuration;
 import org.catkinproxy.config.Workspace;
 import org.catkinproxy.configuration.ConfigTask;
 import org.catkinproxy.dispatch.DispatchTask;
-import org.catkinproxy.http.HttpLimits;
 import org.catkinproxy.http.HttpListener;
 import org.catkinproxy.id.Incarnation;
 import org.catkinproxy.id.InstanceId;
-import org.catkinproxy.id.Revision;
 import org.catkinproxy.id.WorkspaceId;
-import org.catkinproxy.member.EntryRanking;
 import org.catkinproxy.member.MemberState;
 import org.catkinproxy.member.MembershipView;
 import org.catkinproxy.membership.MembershipTask;
 import org.catkinproxy.membership.StopTask;
 import org.catkinproxy.observe.EventLog;
 import org.catkinproxy.observe.LogEvent;
-import org.catkinproxy.operator.OperatorKeys;
-import org.catkinproxy.operator.OperatorPorts;
+import org.catkinproxy.observe.Metrics;
+import org.catkinproxy.observe.ServiceLevels;
 import org.catkinproxy.operator.OperatorRoutes;
+import org.catkinproxy.orders.HttpEngineControl;
+import org.catkinproxy.orders.OrderSettings;
+import org.catkinproxy.orders.OrderTask;
 import org.catkinproxy.peer.PeerHooks;
 import org.catkinproxy.peer.PeerLink;
 import org.catkinproxy.peer.PeerTimeouts;
 import org.catkinproxy.relay.Relay;
-import org.catkinproxy.relay.RelayObserver;
 import org.catkinproxy.revision.AcceptedSheet;
 import org.catkinproxy.revision.SpreadSettings;
 import org.catkinproxy.route.EngineReport;
 import org.catkinproxy.route.RouteEvent;
 import org.catkinproxy.service.OkHttpServiceClient;
 import org.catkinproxy.settings.Limits;
-import org.catkinproxy.settings.Listener;
 import org.catkinproxy.settings.Settings;
 import org.catkinproxy.stop.StopSettings;
 import org.catkinproxy.stream.ResumeTokenCodec;
@@ -51,20 +47,17 @@
 import org.catkinproxy.upstream.EngineTimeouts;
 import org.catkinproxy.upstream.HttpEngineClient;
 
-import io.jooby.Jooby;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.UUID;
-import java.util.function.Consumer;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
 
 /**
@@ -74,7 +67,6 @@
  */
 public final class Daemon implements AutoCloseable {
     private static final int MAX_TOKENS = 32_768;
-    private static final int MAX_ENTRIES = 8;
     private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(10);
     private static final Duration MAX_DEADLINE = Duration.ofMinutes(5);
     private static final int ENGINE_CONNECT_MILLIS = 500;
@@ -85,6 +77,8 @@
     private final CompositeDisposable mTasks = new CompositeDisposable();
     private final ActiveRequests mActive = new ActiveRequests();
     private final Gate mGate = new CallerGate();
+    private final Metrics mMetrics = Metrics.create();
+    private final ServiceLevels mLevels;
     private final MembershipTask mMembership;
     private final ConfigTask mConfig;
     private final EngineFleet mEngines;
@@ -92,14 +86,24 @@
     private final RouterHooks mHooks;
     private final PeerLink mPeers;
     private final CallRunner mCalls;
+    private final CallSweeper mCallSweeper;
+    private final OrderTask mOrders;
     private final Relay mRelay;
     private final StopTask mStop;
     private final HttpListener mCallers;
     private final HttpListener mOperators;
+    private final AtomicBoolean mClosed = new AtomicBoolean();
+    private volatile boolean mWasLive;
     private volatile Fleet mFleet = Fleet.of(MembershipView.EMPTY, Configuration.EMPTY);
 
     private Daemon(Settings settings) {
         mSettings = settings;
+        mLevels =
+                ServiceLevels.create(
+                        settings.instance(),
+                        settings.burnWindows().shortWindow(),
+                        settings.burnWindows().longWindow(),
+                        System::nanoTime);
         Platform platform = Platform.of(settings.platform());
         mMembership =
                 MembershipTask.create(
@@ -124,7 +128,7 @@
                         mEngines,
                         engineClient,
                         Schedulers.computation(),
-                        RelayObserver.NONE,
+                        new RelayMeasures(mMetrics, mLevels),
                         System::nanoTime);
         mHooks =
                 RouterHooks.start(
@@ -139,6 +143,7 @@
                         Ticker.systemTicker(),
                         SpreadSettings.DEFAULT,
                         new SplittableRandom());
+        OkHttpServiceClient serviceClient = OkHttpServiceClient.create();
         mCalls =
                 CallRunner.create(
                         new CallSettings(
@@ -147,12 +152,22 @@
                                 CallSettings.DEFAULT_RETENTION),
                         platform.table(),
                         platform.objects(),
-                        OkHttpServiceClient.create());
+                        serviceClient);
+        mCallSweeper =
+                CallSweeper.start(
+                        platform.table(),
+                        platform.objects(),
+                        serviceClient,
+                        new ConfiguredServices(mConfig::current, pool -> mFleet.instances(pool)),
+                        CallSweeper.DEFAULT_PERIOD);
+        mOrders = startOrders(platform);
         mStop = createStop();
         mPeers.serve(settings.peers(), new InForce(), mConfig.changes());
-        mCallers = listen(settings.callers(), callerApi()::accept);
+        Listeners listeners = new Listeners(settings.limits(), mTasks);
+        mCallers = listeners.open("callers", settings.callers(), callerApi());
         mOperators =
-                listen(
+                listeners.open(
+                        "operators",
                         settings.operators(),
                         operatorRoutes(CallAdmin.create(platform.table(), platform.objects()))
                                 ::addTo);
@@ -203,6 +218,10 @@
     /** Ends the instance at once; requests in progress are cut. */
     @Override
     public void close() {
+        if (!mClosed.compareAndSet(false, true)) {
+            return;
+        }
+        mRelay.close();
         mCallers.close();
         mOperators.close();
         mTasks.dispose();
@@ -210,6 +229,8 @@
         mHooks.dispose();
         mEngines.close();
         mDispatch.dispose();
+        mOrders.dispose();
+        mCallSweeper.dispose();
         mCalls.dispose();
         mConfig.dispose();
         mPeers.dispose();
@@ -218,6 +239,7 @@
     }
 
     private void begin() {
+        mPeers.tellOperatorAddress(mSettings.operators().host() + ":" + operatorPort());
         mTasks.add(
                 Flowable.combineLatest(mMembership.views(), mConfig.changes(), Fleet::of)
                         .observeOn(Schedulers.single())
@@ -244,9 +266,19 @@
         mDispatch.tell(new RouteEvent.SharesChanged(shares));
     }
 
-    /** The platform, an operator at any instance or a peer may have said that this one leaves. */
+    /**
+     * The platform, an operator at any instance or a peer may have said that this one leaves.
+     *
+     * <p>A list that lags may still mean an earlier start, so this one must have been live first.
+     */
     private void stopIfLeaving(MembershipView view) {
-        if (view.find(mSettings.instance()).map(MemberState::leaving).orElse(false)) {
+        Optional<MemberState> self = view.find(mSettings.instance());
+        if (self.isEmpty()) {
+            return;
+        }
+        if (!self.get().leaving()) {
+            mWasLive = true;
+        } else if (mWasLive) {
             mStop.stop();
         }
     }
@@ -274,6 +306,18 @@
                 mSettings.peers());
     }
 
+    private OrderTask startOrders(Platform platform) {
+        OrderSettings orders = OrderSettings.defaults(mSettings.instance());
+        return OrderTask.start(
+                orders,
+                platform.table(),
+                HttpEngineControl.create(orders.orderTimeout()),
+                () -> mConfig.isFresh() ? mConfig.current() : Configuration.EMPTY,
+                pool -> mFleet.orderTargets(pool),
+                Schedulers.computation(),
+                System::nanoTime);
+    }
+
     private StopTask createStop() {
         StopSettings defaults = StopSettings.DEFAULT;
         return StopTask.create(
@@ -294,7 +338,7 @@
                 mRelay,
                 mCalls,
                 pool -> mFleet.instances(pool),
-                new Entries(),
+                new RankedEntries(mMembership, mSettings.entriesTtl()),
                 ResumeTokenCodec.create(mSettings.secrets().resumeTokenKey()),
                 new CallerLimits(
                         MAX_TOKENS,
@@ -308,61 +352,19 @@
     }
 
     private OperatorRoutes operatorRoutes(CallAdmin calls) {
-        return OperatorRoutes.create(
-                OperatorKeys.of(mSettings.operatorDigests()),
-                new OperatorPorts(
-                        new LocalFleetView(
-                                mSettings, mGate, mMembership, mEngines, this::openRequests),
-                        new ConfigSheets(mConfig, this::revisions),
-                        new CallTableAdmin(calls),
-                        new MembershipStops(mMembership, mEngines),
-                        new DispatchExplainer(
-                                mConfig::current, mDispatch, mSettings.dispatch().policy()),
-                        this::burn,
-                        () -> ""));
-    }
-
-    private BurnMessage burn() {
-        return new BurnMessage(
-                mSettings.instance().value(),
-                mConfig.current().revision().value(),
-                mSettings.burnWindows().shortWindow().toMillis(),
-                mSettings.burnWindows().longWindow().toMillis(),
-                Map.of(),
-                List.of());
-    }
-
-    private List<RevisionView> revisions() {
-        List<RevisionView> views = new ArrayList<>();
-        views.add(view(mSettings.instance(), mConfig.current().revision()));
-        mPeers.revisions()
-                .blockingGet()
-                .forEach(
-                        (peer, said) ->
-                                views.add(
-                                        view(
-                                                peer,
-                                                said.map(s -> s.revision())
-                                                        .orElse(Revision.NONE))));
-        return views;
-    }
-
-    private static RevisionView view(InstanceId instance, Revision revision) {
-        return new RevisionView(instance.value(), revision.value());
-    }
-
-    private HttpListener listen(Listener listener, Consumer<Jooby> routes) {
-        Limits limits = mSettings.limits();
-        return HttpListener.open(
-                listener.host(),
-                listener.port(),
-                new HttpLimits(
-                        limits.maxBodyBytes(),
-                        limits.maxHeaderBytes(),
-                        (int) limits.bodyReadTimeout().toMillis(),
-                        2 * limits.maxConcurrentRequests()),
-                Optional.empty(),
-                routes);
+        return new OperatorSide(
+                        mSettings,
+                        mGate,
+                        mMembership,
+                        mEngines,
+                        mDispatch,
+                        mConfig,
+                        mPeers,
+                        calls,
+                        mLevels,
+                        mMetrics,
+                        this::openRequests)
+                .routes();
     }
 
     private static EngineTimeouts engineTimeouts(Limits limits) {
@@ -388,21 +390,6 @@
         }
     }
 
-    /** The entry instances for callers. Safe for use by any thread. */
-    private final class Entries implements EntryDirectory {
-        @Override
-        public List<Entry> entries(String caller) {
-            return EntryRanking.rank(mMembership.view(), caller, MAX_ENTRIES).stream()
-                    .map(i -> new Entry(i.id(), i.address()))
-                    .toList();
-        }
-
-        @Override
-        public long ttlMillis() {
-            return mSettings.entriesTtl().toMillis();
-        }
-    }
-
     /** What peers are told of the configuration. Safe for use by any thread. */
     private final class InForce implements PeerLink.InForce {
         @Override
@@ -425,8 +412,8 @@
 
         @Override
         public Completable handOver() {
-            // All that must last is in the platform's service; peers learn the rest from engines.
-            return Completable.complete();
+            // Peers learn from engines; what calls left to record must reach the platform.
+            return mCalls.drained();
         }
     }
 }
