Silence only connections that are open, and leave them silent for good

A stand-in knows a connection by the client's port. It silenced every port ever seen, so a new connection that got an old port was silent too, and a second silence let the first ones speak again. It now takes the connections that carry a call or were used in the last three seconds. New test; 18 tests of the module pass.

--- a/standins/src/main/java/org/catkinproxy/standin/StandinServer.java
+++ b/standins/src/main/java/org/catkinproxy/standin/StandinServer.java
@@ -12,6 +12,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -30,6 +31,7 @@
 public abstract class StandinServer implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(StandinServer.class);
     private static final int BACKLOG = 1_024;
+    private static final long IDLE_NANOS = Duration.ofSeconds(3).toNanos();
 
     static {
         // Read by the JDK's server when its class is loaded; without it small events are held back.
@@ -41,7 +43,8 @@
     private final ExecutorService mThreads = Executors.newCachedThreadPool(StandinServer::daemon);
     private final ScheduledExecutorService mTimer =
             Executors.newScheduledThreadPool(2, StandinServer::daemon);
-    private final Set<InetSocketAddress> mConnections = ConcurrentHashMap.newKeySet();
+    private final Map<InetSocketAddress, Long> mLastUseNanos = new ConcurrentHashMap<>();
+    private final Set<InetSocketAddress> mInUse = ConcurrentHashMap.newKeySet();
     private final Set<InetSocketAddress> mSilenced = ConcurrentHashMap.newKeySet();
     private final int mPort;
     private volatile long mFrozenUntilNanos = System.nanoTime();
@@ -181,7 +184,8 @@
     }
 
     private void handleExchange(HttpExchange exchange) throws IOException {
-        mConnections.add(exchange.getRemoteAddress());
+        InetSocketAddress remote = exchange.getRemoteAddress();
+        mInUse.add(remote);
         try {
             Call call = Call.read(exchange);
             if (call.path().startsWith("/admin/")) {
@@ -194,6 +198,9 @@
         } catch (RuntimeException e) {
             LOG.warn("call of {} failed", exchange.getRequestURI(), e);
             exchange.close();
+        } finally {
+            mLastUseNanos.put(remote, System.nanoTime());
+            mInUse.remove(remote);
         }
     }
 
@@ -232,10 +239,17 @@
         }
     }
 
+    /**
+     * Silences the connections that carry a call, and those that lie idle between two calls.
+     *
+     * <p>A connection is known by the client's port, which is used again after a while; so one that
+     * was not used lately is taken as closed.
+     */
     private void silence() {
-        mSilenced.clear();
-        mSilenced.addAll(mConnections);
-        mConnections.clear();
+        long now = System.nanoTime();
+        mLastUseNanos.values().removeIf(used -> now - used > IDLE_NANOS);
+        mSilenced.addAll(mLastUseNanos.keySet());
+        mSilenced.addAll(mInUse);
     }
 
     private synchronized void refuse(Duration time) {
--- a/standins/src/test/java/org/catkinproxy/standin/PlatformStandinTest.java
+++ b/standins/src/test/java/org/catkinproxy/standin/PlatformStandinTest.java
@@ -7,7 +7,12 @@
 
 import org.catkinproxy.standin.platform.PlatformStandin;
 
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+
 import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
 
 final class PlatformStandinTest {
     private final PlatformStandin mPlatform = PlatformStandin.start(0);
@@ -53,6 +58,27 @@
         assertThat(Http.get(mPlatform.url() + "/instances").status()).isEqualTo(200);
     }
 
+    @Example
+    void silencedConnectionStaysSilentWhileNewOnesWork() throws IOException {
+        OkHttpClient before = new OkHttpClient.Builder().build();
+        Request request = new Request.Builder().url(mPlatform.url() + "/instances").build();
+        before.newCall(request).execute().body().string();
+        mPlatform.fault(Fault.of("silence"));
+        OkHttpClient bounded = before.newBuilder().readTimeout(Duration.ofSeconds(1)).build();
+        assertThrowsTimeout(bounded, request);
+        assertThat(new OkHttpClient().newCall(request).execute().code()).isEqualTo(200);
+    }
+
+    private static void assertThrowsTimeout(OkHttpClient client, Request request)
+            throws IOException {
+        try {
+            client.newCall(request).execute().close();
+        } catch (SocketTimeoutException e) {
+            return;
+        }
+        throw new AssertionError("the silenced connection was answered");
+    }
+
     @Example
     void objectIsNeverChanged() throws IOException {
         String url = mPlatform.url() + "/kv/b1";
