End a planned stop at the second signal

The JVM ignores a second SIGTERM while its shutdown hooks run, so a stop could not be ended but by SIGKILL. The first SIGTERM or SIGINT now begins the exit, whose hook awaits the planned stop; the next one ends the stop. The longest stop also counts the spread to peers that could not be told and the handing over, which took from the grace before.

--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -210,6 +210,11 @@
         mStop.stop();
     }
 
+    /** Ends a planned stop at once, whatever is open; {@link #left} completes. */
+    public void end() {
+        mStop.end();
+    }
+
     /** Completes when a planned stop is over and the process may end. */
     public Completable left() {
         return mStop.left();
--- a/daemon/src/main/java/org/catkinproxy/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/DaemonMain.java
@@ -5,14 +5,17 @@
 import org.catkinproxy.observe.LogEvent;
 import org.catkinproxy.settings.Settings;
 import org.catkinproxy.settings.SettingsFile;
+import org.catkinproxy.stop.StopSettings;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 
 import io.reactivex.rxjava3.plugins.RxJavaPlugins;
+import sun.misc.Signal;
 
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /** Starts the daemon from the command line. Stateless. */
 public final class DaemonMain {
@@ -60,13 +63,30 @@
         }
         // Failures of work that nobody waits for any more.
         RxJavaPlugins.setErrorHandler(e -> EventLog.log(LogEvent.TASK_FAILED, "none", e));
-        Duration longestStop = settings.stopGrace().plus(settings.entriesTtl());
+        Duration longestStop =
+                settings.stopGrace()
+                        .plus(settings.entriesTtl())
+                        .plusMillis(StopSettings.DEFAULT.spreadMillis())
+                        .plusMillis(StopSettings.DEFAULT.handOverMillis());
         Daemon daemon = Daemon.start(settings);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, longestStop), "stop"));
+        AtomicBoolean asked = new AtomicBoolean();
+        Signal.handle(new Signal("TERM"), s -> terminate(daemon, asked));
+        Signal.handle(new Signal("INT"), s -> terminate(daemon, asked));
         daemon.left().blockingAwait();
         System.exit(EXIT_OK);
     }
 
+    /** The first signal begins a planned stop, which the shutdown hook awaits; another ends it. */
+    private static void terminate(Daemon daemon, AtomicBoolean asked) {
+        if (asked.compareAndSet(false, true)) {
+            // The handler must return, or no other signal would be handled.
+            new Thread(() -> System.exit(EXIT_OK), "exit").start();
+        } else {
+            daemon.end();
+        }
+    }
+
     /** Runs on the first signal; the planned stop may already be over, or takes its time. */
     private static void stop(Daemon daemon, Duration longest) {
         daemon.stop();
