--- a/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
@@ -21,8 +21,7 @@
     private LeavingEngine() {}
 
     static void run(Scene scene, Member engine) {
-        if (!scene.hold(engine)) {
-            scene.ledger().note("skipped: " + engine.id() + " is disturbed already");
+        if (!scene.holdSoon(engine)) {
             return;
         }
         long start = System.nanoTime();
@@ -44,6 +43,7 @@
             engine.process().kill();
             scene.cluster().list(engine, "live");
             engine.process().start();
+            Cluster.await(engine.id(), () -> scene.cluster().isListening(engine, "/v1/load"));
             scene.release(engine);
         }
     }
