--- a/core/src/main/java/org/catkinproxy/call/CallMachine.java
+++ b/core/src/main/java/org/catkinproxy/call/CallMachine.java
@@ -123,7 +123,7 @@
                             new Refuse(
                                     ErrorCode.STORE_UNAVAILABLE,
                                     Outcome.NOT_RUN,
-                                    "the call could not be claimed in time; it was not sent",
+                                    "not claimed in time, so not sent; earlier requests are not known",
                                     true));
             case WAITING ->
                     List.of(
