--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/config/SheetFuzzTest.java
@@ -0,0 +1,48 @@
+package org.catkinproxy.config;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.CharRange;
+import net.jqwik.api.constraints.StringLength;
+
+/** A sheet of any content is valid or has errors with their place; nothing is thrown. */
+class SheetFuzzTest {
+    private static final String SHEET =
+            "kind,workspace,model,adapter,version,pool,instance,service,match,value\n"
+                    + "pool,,,,,engines,,,,fencing=checked loads=2\n"
+                    + "instance,,,,,engines,engine-1,,,join\n"
+                    + "workspace,depot,,,,,,,,share=2 first_token_ms=500\n"
+                    + "model,depot,review,,v1,engines,,,,\n";
+
+    @Property(seed = "1", tries = 500)
+    void anyText(@ForAll String csv) {
+        checkResult(Sheet.parse(csv));
+    }
+
+    @Property(seed = "1", tries = 500)
+    void anyRowsBelowTheHeader(
+            @ForAll @StringLength(max = 80) @CharRange(from = ' ', to = '~') String row) {
+        String header = SHEET.substring(0, SHEET.indexOf('\n') + 1);
+        checkResult(Sheet.parse(header + row + "\n" + row + "\n"));
+    }
+
+    @Property(seed = "1", tries = 500)
+    void anyDamage(@ForAll int position, @ForAll char replacement) {
+        StringBuilder csv = new StringBuilder(SHEET);
+        csv.setCharAt(Math.floorMod(position, csv.length()), replacement);
+        checkResult(Sheet.parse(csv.toString()));
+    }
+
+    private static void checkResult(SheetResult result) {
+        if (result.isValid()) {
+            assertThat(result.configuration()).isNotNull();
+            return;
+        }
+        for (SheetError error : result.errors()) {
+            assertThat(error.row()).isAtLeast(1);
+            assertThat(error.column()).isNotEmpty();
+        }
+    }
+}
