--- a/daemon/src/test/java/org/catkinproxy/settings/SettingsFileTest.java
+++ b/daemon/src/test/java/org/catkinproxy/settings/SettingsFileTest.java
@@ -15,8 +15,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 class SettingsFileTest {
     private static final Path EXAMPLES = Path.of("..", "examples");
@@ -35,6 +37,18 @@
         assertThat(settings.operatorDigests()).containsKey("alice");
     }
 
+    @Example
+    void readsEveryExample() throws IOException {
+        List<Path> files;
+        try (Stream<Path> all = Files.walk(EXAMPLES)) {
+            files = all.filter(f -> f.toString().endsWith(".toml")).toList();
+        }
+        assertThat(files.size()).isAtLeast(2);
+        for (Path file : files) {
+            assertThat(SettingsFile.load(file, ENVIRONMENT)).isNotNull();
+        }
+    }
+
     @Example
     void theFullExampleStatesTheDefaults() {
         Settings full = SettingsFile.load(EXAMPLES.resolve("full.toml"), ENVIRONMENT);
