--- a/core/src/main/java/org/catkinproxy/route/EngineChooser.java
+++ b/core/src/main/java/org/catkinproxy/route/EngineChooser.java
@@ -3,7 +3,6 @@
 import org.catkinproxy.cache.BlockIndex;
 import org.catkinproxy.cache.PrefixMatch;
 import org.catkinproxy.cache.PromptBlocks;
-import org.catkinproxy.config.Priority;
 import org.catkinproxy.id.BlockKey;
 import org.catkinproxy.id.EngineId;
 
@@ -49,7 +48,7 @@
             long nowNanos, RouteRequest request, Set<EngineId> excluded, Reservations reserved) {
         mIndex.match(request.blocks().keys(), nowNanos, mMatch);
         List<EngineState> candidates = candidates(nowNanos, request, excluded);
-        double weight = recomputeWeight(nowNanos, request.priority(), candidates);
+        double weight = mPolicy.recomputeWeight(meanBacklogNanos(nowNanos, candidates));
         EngineState home = mMatch.count() == 0 ? home(request, candidates) : null;
         List<Weighed> weighed = new ArrayList<>(candidates.size());
         for (EngineState engine : candidates) {
@@ -103,13 +102,6 @@
                 && !excluded.contains(engine.id());
     }
 
-    /** An alarm goes where its first token comes soonest, whatever others lose by it. */
-    private double recomputeWeight(long nowNanos, Priority priority, List<EngineState> candidates) {
-        return priority == Priority.ALARM
-                ? 1
-                : mPolicy.recomputeWeight(meanBacklogNanos(nowNanos, candidates));
-    }
-
     private static double meanBacklogNanos(long nowNanos, List<EngineState> engines) {
         double sum = 0;
         for (EngineState engine : engines) {
