--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/config/ExampleSheetsTest.java
@@ -0,0 +1,33 @@
+package org.catkinproxy.config;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Example;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** The sheets that the project hands out are valid. */
+class ExampleSheetsTest {
+    private static final Path EXAMPLES = Path.of("..", "examples");
+
+    @Example
+    void sheetOfTheAssociationNamesItsEnginesAndWorkspaces() throws IOException {
+        Configuration configuration = configuration("association");
+        assertThat(configuration.workspaces()).hasSize(8);
+        assertThat(configuration.members()).hasSize(9);
+    }
+
+    @Example
+    void sheetOfVaktlagNamesItsEnginesAndWorkspaces() throws IOException {
+        Configuration configuration = configuration("vaktlag");
+        assertThat(configuration.workspaces()).hasSize(8);
+        assertThat(configuration.members()).hasSize(16);
+    }
+
+    private static Configuration configuration(String deployment) throws IOException {
+        Path file = EXAMPLES.resolve(deployment).resolve("sheet.csv");
+        return Sheet.parse(Files.readString(file)).configuration();
+    }
+}
