Cancel work for callers of whole answers that went away; share the tools' command line

Cause: only streams wrote to their caller while it waited, so only they noticed a closed connection. Routes do not see connections, so each request is given its connection's id in a header that senders can not set, and the sink leaves when that connection closes. The four tools' handling of their command lines was the same text four times.

--- a/bench/src/main/java/org/catkinproxy/bench/BenchMain.java
+++ b/bench/src/main/java/org/catkinproxy/bench/BenchMain.java
@@ -1,12 +1,10 @@
 package org.catkinproxy.bench;
 
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
+import org.catkinproxy.tool.CommandLine;
 import org.kohsuke.args4j.Option;
 
 /** The command {@code bin/bench}. */
-public final class BenchMain {
-    private static final int USAGE_STATUS = 2;
+public final class BenchMain extends CommandLine {
 
     @Option(name = "--deployment", required = true, usage = "association or vaktlag")
     private Deployment mDeployment;
@@ -31,14 +29,7 @@
     /** Runs the bench. */
     public static void main(String[] args) {
         BenchMain main = new BenchMain();
-        CmdLineParser parser = new CmdLineParser(main);
-        try {
-            parser.parseArgument(args);
-        } catch (CmdLineException e) {
-            System.err.println(e.getMessage());
-            parser.printUsage(System.err);
-            System.exit(USAGE_STATUS);
-        }
+        main.parse(args);
         main.run();
     }
 
--- a/bench/src/main/java/org/catkinproxy/chaos/ChaosMain.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/ChaosMain.java
@@ -2,8 +2,7 @@
 
 import org.catkinproxy.demo.Cluster;
 import org.catkinproxy.demo.ClusterOptions;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
+import org.catkinproxy.tool.CommandLine;
 import org.kohsuke.args4j.Option;
 
 import java.io.IOException;
@@ -17,8 +16,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Runs a cluster under failures and counts broken promises. */
-public final class ChaosMain {
-    private static final int USAGE = 2;
+public final class ChaosMain extends CommandLine {
     private static final int STREAM_WORKERS = 10;
     private static final int FILING_WORKERS = 5;
     private static final Duration SETTLE = Duration.ofSeconds(20);
@@ -36,26 +34,12 @@
     @Option(name = "--schedule", usage = "only print the failures")
     private boolean mScheduleOnly;
 
-    @Option(name = "--help", help = true, usage = "show this text")
-    private boolean mHelp;
-
     private ChaosMain() {}
 
     /** Runs; exits 0 if no promise was broken. */
     public static void main(String[] args) throws Exception {
         ChaosMain main = new ChaosMain();
-        CmdLineParser parser = new CmdLineParser(main);
-        try {
-            parser.parseArgument(args);
-        } catch (CmdLineException e) {
-            System.err.println(e.getMessage());
-            parser.printUsage(System.err);
-            System.exit(USAGE);
-        }
-        if (main.mHelp) {
-            parser.printUsage(System.out);
-            return;
-        }
+        main.parse(args);
         System.exit(main.run() ? 0 : 1);
     }
 
--- a/bench/src/main/java/org/catkinproxy/demo/DemoMain.java
+++ b/bench/src/main/java/org/catkinproxy/demo/DemoMain.java
@@ -1,7 +1,6 @@
 package org.catkinproxy.demo;
 
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
+import org.catkinproxy.tool.CommandLine;
 import org.kohsuke.args4j.Option;
 
 import java.io.IOException;
@@ -10,8 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 
 /** Starts a cluster on loopback and shows what it does. */
-public final class DemoMain {
-    private static final int USAGE = 2;
+public final class DemoMain extends CommandLine {
 
     @Option(name = "--check", usage = "verify, end everything, and exit 0 only if all held")
     private boolean mCheck;
@@ -22,26 +20,12 @@
     @Option(name = "--ctl", metaVar = "FILE", usage = "the command-line tool for operators")
     private Path mCtl = Path.of("bin", "catkinctl");
 
-    @Option(name = "--help", help = true, usage = "show this text")
-    private boolean mHelp;
-
     private DemoMain() {}
 
     /** Runs the demo; exits 0 if all held. */
     public static void main(String[] args) throws IOException {
         DemoMain main = new DemoMain();
-        CmdLineParser parser = new CmdLineParser(main);
-        try {
-            parser.parseArgument(args);
-        } catch (CmdLineException e) {
-            System.err.println(e.getMessage());
-            parser.printUsage(System.err);
-            System.exit(USAGE);
-        }
-        if (main.mHelp) {
-            parser.printUsage(System.out);
-            return;
-        }
+        main.parse(args);
         System.exit(main.run() ? 0 : 1);
     }
 
--- a/bench/src/main/java/org/catkinproxy/load/LoadMain.java
+++ b/bench/src/main/java/org/catkinproxy/load/LoadMain.java
@@ -7,8 +7,7 @@
 import org.catkinproxy.demo.Member;
 import org.catkinproxy.demo.Operator;
 import org.catkinproxy.demo.StreamOutcome;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
+import org.catkinproxy.tool.CommandLine;
 import org.kohsuke.args4j.Option;
 
 import java.io.IOException;
@@ -24,8 +23,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Starts a cluster, sends load through it, and prints what callers saw. */
-public final class LoadMain {
-    private static final int USAGE = 2;
+public final class LoadMain extends CommandLine {
     private static final int BASE_PORT = 20_000;
     private static final int MAX_CONNECTIONS = 3;
     private static final Duration WARM_UP = Duration.ofSeconds(3);
@@ -45,26 +43,12 @@
     @Option(name = "--base-port", metaVar = "PORT", usage = "first port to try")
     private int mBasePort = BASE_PORT;
 
-    @Option(name = "--help", help = true, usage = "show this text")
-    private boolean mHelp;
-
     private LoadMain() {}
 
     /** Runs the load; exits 0 if all requests were sent. */
     public static void main(String[] args) throws IOException, InterruptedException {
         LoadMain main = new LoadMain();
-        CmdLineParser parser = new CmdLineParser(main);
-        try {
-            parser.parseArgument(args);
-        } catch (CmdLineException e) {
-            System.err.println(e.getMessage());
-            parser.printUsage(System.err);
-            System.exit(USAGE);
-        }
-        if (main.mHelp) {
-            parser.printUsage(System.out);
-            return;
-        }
+        main.parse(args);
         System.exit(main.run() ? 0 : 1);
     }
 
--- a/daemon/src/main/java/org/catkinproxy/caller/CompletionHandler.java
+++ b/daemon/src/main/java/org/catkinproxy/caller/CompletionHandler.java
@@ -26,8 +26,8 @@
 
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 
 /**
@@ -93,17 +93,16 @@
     }
 
     private void start(Context ctx, Answering answering, RelayRequest request) {
-        if (!answering.completion().stream()) {
-            mRelay.prepare(request, new WholeSink(ctx, answering)).start();
-            return;
-        }
         // The sink needs a way to end the task, which needs the sink.
-        AtomicReference<RelayTask> task = new AtomicReference<>();
+        CompletableFuture<RelayTask> task = new CompletableFuture<>();
+        Runnable leave = () -> task.thenAccept(RelayTask::leave);
         AnswerSink sink =
-                new StreamingSink(
-                        ctx, answering, mTokens, mLimits.heartbeat(), () -> task.get().leave());
-        task.set(mRelay.prepare(request, sink));
-        task.get().start();
+                answering.completion().stream()
+                        ? new StreamingSink(ctx, answering, mTokens, mLimits.heartbeat(), leave)
+                        : new WholeSink(ctx, answering, leave);
+        RelayTask prepared = mRelay.prepare(request, sink);
+        prepared.start();
+        task.complete(prepared);
     }
 
     private Answering answering(
--- a/daemon/src/main/java/org/catkinproxy/caller/WholeSink.java
+++ b/daemon/src/main/java/org/catkinproxy/caller/WholeSink.java
@@ -10,6 +10,7 @@
 
 import io.jooby.Context;
 import io.jooby.MediaType;
+import io.reactivex.rxjava3.disposables.Disposable;
 
 /**
  * Collects an answer and gives it to the caller in one piece.
@@ -20,11 +21,18 @@
     private final Context mContext;
     private final Answering mAnswering;
     private final StringBuilder mText = new StringBuilder();
+    private final Disposable mWatch;
     private int mCachedTokens;
 
-    WholeSink(Context context, Answering answering) {
+    /**
+     * Creates a sink.
+     *
+     * @param onGone runs if the caller leaves before it has the answer
+     */
+    WholeSink(Context context, Answering answering, Runnable onGone) {
         mContext = context;
         mAnswering = answering;
+        mWatch = HttpListener.onClose(context, onGone);
     }
 
     @Override
@@ -40,6 +48,7 @@
 
     @Override
     public void complete(long count, String finish) {
+        mWatch.dispose();
         ObjectNode root = mAnswering.whole();
         ObjectNode choice = Answering.addChoice(root, finish);
         mAnswering.completion().shape().putText(choice, mText.toString());
@@ -50,11 +59,13 @@
 
     @Override
     public void fail(CatkinException error) {
+        mWatch.dispose();
         HttpListener.fail(mContext, error);
     }
 
     @Override
     public void abandon() {
+        mWatch.dispose();
         // The connection closes with the listener; a caller of a whole answer asks again.
     }
 }
--- a/daemon/src/main/java/org/catkinproxy/http/BoundedNettyServer.java
+++ b/daemon/src/main/java/org/catkinproxy/http/BoundedNettyServer.java
@@ -42,6 +42,7 @@
 
     private final HttpLimits mLimits;
     private final Optional<Supplier<SslContext>> mTls;
+    private final OpenConnections mOpen = new OpenConnections();
     private final EventLoopGroup mAcceptors;
     private final EventLoopGroup mLoops;
     private final ExecutorService mWorkers;
@@ -63,6 +64,11 @@
                         options.getWorkerThreads(), new DefaultThreadFactory("http-work", true));
     }
 
+    /** Returns the connections that are open. */
+    OpenConnections connections() {
+        return mOpen;
+    }
+
     /** Returns the port that was bound. */
     int port() {
         return ((InetSocketAddress) mListener.localAddress()).getPort();
@@ -135,6 +141,7 @@
                                     MAX_INITIAL_LINE_BYTES, mLimits.maxHeaderBytes(), CHUNK_BYTES))
                     .addLast("timeout", new RequestTimeoutHandler(mLimits.requestTimeoutMillis()))
                     .addLast("expect-continue", new HttpServerExpectContinueHandler())
+                    .addLast("open", mOpen)
                     .addLast("handler", newHandler(channel));
         }
 
--- a/daemon/src/main/java/org/catkinproxy/http/HttpListener.java
+++ b/daemon/src/main/java/org/catkinproxy/http/HttpListener.java
@@ -12,6 +12,7 @@
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
 import io.netty.handler.ssl.SslContext;
+import io.reactivex.rxjava3.disposables.Disposable;
 
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -23,6 +24,7 @@
  * <p>Started and stopped by one thread; routes run on the server's workers.
  */
 public final class HttpListener implements AutoCloseable {
+    private static final String CONNECTIONS = "connections";
     private static final int IO_THREADS = 2;
     private static final int WORKER_THREADS = 16;
 
@@ -60,6 +62,7 @@
         // Handlers parse and hash whole prompts, which is no work for an event loop.
         application.setExecutionMode(ExecutionMode.WORKER);
         application.error((ctx, cause, status) -> fail(ctx, toError(cause, status)));
+        application.before(ctx -> ctx.setAttribute(CONNECTIONS, server.connections()));
         routes.accept(application);
         server.start(application);
         return new HttpListener(server);
@@ -75,6 +78,16 @@
         return mServer.port();
     }
 
+    /**
+     * Runs an action when the connection of a request closes.
+     *
+     * @return takes the action back
+     */
+    public static Disposable onClose(Context ctx, Runnable action) {
+        OpenConnections connections = ctx.getAttribute(CONNECTIONS);
+        return connections.onClose(ctx.header(OpenConnections.HEADER).value(), action);
+    }
+
     /** Answers a request with an error. */
     public static void fail(Context ctx, CatkinException error) {
         ctx.setResponseCode(StatusCode.valueOf(error.code().httpStatus()));
