--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -4,7 +4,6 @@
 
 import org.catkinproxy.caller.ActiveRequests;
 import org.catkinproxy.caller.CallerApi;
-import org.catkinproxy.caller.CallerLimits;
 import org.catkinproxy.caller.Gate;
 import org.catkinproxy.calls.CallAdmin;
 import org.catkinproxy.calls.CallRunner;
@@ -42,7 +41,6 @@
 import org.catkinproxy.settings.Limits;
 import org.catkinproxy.settings.Settings;
 import org.catkinproxy.stop.StopSettings;
-import org.catkinproxy.stream.ResumeTokenCodec;
 import org.catkinproxy.upstream.EngineFleet;
 import org.catkinproxy.upstream.EngineTimeouts;
 import org.catkinproxy.upstream.HttpEngineClient;
@@ -52,7 +50,6 @@
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 
-import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -66,9 +63,6 @@
  * <p>Started by one thread; may be stopped by any.
  */
 public final class Daemon implements AutoCloseable {
-    private static final int MAX_TOKENS = 32_768;
-    private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(10);
-    private static final Duration MAX_DEADLINE = Duration.ofMinutes(5);
     private static final int ENGINE_CONNECT_MILLIS = 500;
     private static final int ENGINE_CONTROL_MILLIS = 1_000;
 
@@ -337,23 +331,8 @@
     }
 
     private CallerApi callerApi() {
-        Limits limits = mSettings.limits();
-        return CallerApi.create(
-                mGate,
-                mRelay,
-                mCalls,
-                pool -> mFleet.instances(pool),
-                new RankedEntries(mMembership, mSettings.entriesTtl()),
-                ResumeTokenCodec.create(mSettings.secrets().resumeTokenKey()),
-                new CallerLimits(
-                        MAX_TOKENS,
-                        DEFAULT_DEADLINE,
-                        MAX_DEADLINE,
-                        limits.heartbeat(),
-                        limits.requestsPerSecond(),
-                        limits.maxConcurrentRequests()),
-                mActive,
-                System::nanoTime);
+        return new CallerSide(mSettings, mGate, mRelay, mCalls, mMembership, mActive)
+                .api(pool -> mFleet.instances(pool));
     }
 
     private OperatorRoutes operatorRoutes(CallAdmin calls) {
