--- a/daemon/src/test/java/org/catkinproxy/daemon/TestCluster.java
+++ b/daemon/src/test/java/org/catkinproxy/daemon/TestCluster.java
@@ -22,6 +22,7 @@
 import org.catkinproxy.settings.PlatformSettings;
 import org.catkinproxy.settings.Secrets;
 import org.catkinproxy.settings.Settings;
+import org.catkinproxy.settings.TlsFiles;
 import org.catkinproxy.standin.WeightsName;
 import org.catkinproxy.standin.engine.EngineOptions;
 import org.catkinproxy.standin.engine.EngineStandin;
@@ -40,6 +41,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -63,7 +65,11 @@
                     .readTimeout(PATIENCE_SECONDS, TimeUnit.SECONDS)
                     .build();
 
-    private TestCluster(int engines, EngineOptions options) throws IOException {
+    private final Optional<TlsFiles> mTls;
+
+    private TestCluster(int engines, EngineOptions options, Optional<TlsFiles> tls)
+            throws IOException {
+        mTls = tls;
         for (int i = 0; i < engines; i++) {
             EngineStandin engine = EngineStandin.start(0, options.withWeights(List.of(WEIGHTS)));
             mEngines.add(engine);
@@ -73,7 +79,14 @@
     }
 
     static TestCluster start(int engines, int daemons, EngineOptions options) throws IOException {
-        TestCluster cluster = new TestCluster(engines, options);
+        return start(engines, daemons, options, Optional.empty());
+    }
+
+    /** Starts a cluster whose daemons use TLS on all listeners. */
+    static TestCluster start(
+            int engines, int daemons, EngineOptions options, Optional<TlsFiles> tls)
+            throws IOException {
+        TestCluster cluster = new TestCluster(engines, options, tls);
         for (int i = 0; i < daemons; i++) {
             cluster.addDaemon("entry-" + i);
         }
@@ -221,9 +234,9 @@
                 InstanceId.of(name),
                 DataCentreId.of("dc-1"),
                 1,
-                Listener.of("127.0.0.1", 0),
-                Listener.of("127.0.0.1", 0),
-                Listener.of("127.0.0.1", 0),
+                new Listener("127.0.0.1", 0, mTls),
+                new Listener("127.0.0.1", 0, mTls),
+                new Listener("127.0.0.1", 0, mTls),
                 new PlatformSettings(
                         platform,
                         platform,
