Keep the dispatcher alive when a forgotten engine's request ends

A request sent to an engine that then began anew stayed in the dispatcher's map of requests in flight. Once the engine was silent for ten minutes it was forgotten, and a withdrawal or return of that request threw a NullPointerException; its end left the entry in the map for ever.

Ruled out: forgetting an engine with work, which isForgettable prevents; a beginning that should clear the map, which would take time linear in all requests.

--- a/core/src/main/java/org/catkinproxy/route/Dispatcher.java
+++ b/core/src/main/java/org/catkinproxy/route/Dispatcher.java
@@ -183,18 +183,20 @@
     }
 
     private void finished(long nowNanos, RouteEvent.Finished event) {
+        mInFlight.remove(event.request(), event.engine());
         EngineState engine = mEngines.get(event.engine());
         if (engine != null) {
             engine.end(nowNanos, event.request());
-            mInFlight.remove(event.request(), event.engine());
             dispatchWaiting(nowNanos);
         }
     }
 
+    /** Ends what a request has in flight, if its engine is not forgotten since it began anew. */
     private void forget(long nowNanos, RequestId request) {
-        EngineId engine = mInFlight.remove(request);
+        EngineId id = mInFlight.remove(request);
+        EngineState engine = id == null ? null : mEngines.get(id);
         if (engine != null) {
-            mEngines.get(engine).end(nowNanos, request);
+            engine.end(nowNanos, request);
         }
     }
 
