Check the whole dispatcher against a naive model under random events

Not checked: which fit engine is chosen, and when a waiting request could have gone earlier; the deadline that an engine's load makes unreachable is taken on trust where an engine could answer.

--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/route/RandomRouteEvents.java
@@ -0,0 +1,194 @@
+package org.catkinproxy.route;
+
+import org.catkinproxy.cache.PromptBlocks;
+import org.catkinproxy.config.Priority;
+import org.catkinproxy.id.EngineId;
+import org.catkinproxy.id.Incarnation;
+import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.id.PoolId;
+import org.catkinproxy.id.RequestId;
+import org.catkinproxy.id.Weights;
+import org.catkinproxy.id.WorkspaceId;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+/** Makes up events for a small fleet of two pools and two weights, from a seed. */
+final class RandomRouteEvents {
+    private static final int ENGINES = 5;
+    private static final List<PoolId> POOLS = List.of(new PoolId("p"), new PoolId("q"));
+    private static final List<Weights> WEIGHTS =
+            List.of(Weights.of("m", "base", "v1"), Weights.of("m", "base", "v2"));
+
+    private final Random mRandom;
+    private final RouteAudit mAudit;
+    private final Map<Integer, Integer> mStarts = new HashMap<>();
+    private final Map<Integer, Long> mSequences = new HashMap<>();
+    private final Map<RequestId, RouteRequest> mSeen = new HashMap<>();
+
+    RandomRouteEvents(Random random, RouteAudit audit) {
+        mRandom = random;
+        mAudit = audit;
+    }
+
+    /** Returns how much later the next event comes; rarely so late that engines are forgotten. */
+    long pauseNanos() {
+        int kind = mRandom.nextInt(400);
+        if (kind == 0) {
+            return 700 * Scene.SECOND;
+        }
+        return (kind < 10 ? 4_000 : 100) * (long) mRandom.nextInt(1_000) * Scene.MILLI / 1_000;
+    }
+
+    RouteEvent next(long now) {
+        int kind = mRandom.nextInt(100);
+        int number = mRandom.nextInt(ENGINES);
+        if (kind < 30) {
+            return arrival(now);
+        } else if (kind < 52) {
+            return new RouteEvent.Reported(report(number));
+        } else if (kind < 64) {
+            return new RouteEvent.Tick();
+        } else if (kind < 82) {
+            return progress();
+        } else if (kind < 85) {
+            List<RequestId> known = new ArrayList<>(mSeen.keySet());
+            known.add(RequestId.of("unknown"));
+            known.sort(null);
+            return new RouteEvent.Withdrawn(pick(known));
+        } else if (kind < 87) {
+            return new RouteEvent.Unavailable(engine(number));
+        } else if (kind < 90) {
+            return new RouteEvent.Available(engine(number));
+        } else if (kind < 91) {
+            mStarts.merge(number, 1, Integer::sum);
+            mSequences.remove(number);
+            return new RouteEvent.Reported(report(number));
+        } else if (kind < 96) {
+            return cacheEvent(number);
+        } else if (kind < 98) {
+            return new RouteEvent.PeerLoad(
+                    InstanceId.of("peer" + mRandom.nextInt(2)),
+                    Map.of(engine(number), new RouteEvent.InFlight(2, mRandom.nextInt(20_000))));
+        }
+        return new RouteEvent.SharesChanged(Map.of(workspace(0), 1 + mRandom.nextInt(4)));
+    }
+
+    /** Returns a report of the engine's latest start, with its own pool and weights. */
+    EngineReport report(int number) {
+        int tokens = mRandom.nextInt(4) == 0 ? 60_000 : mRandom.nextInt(4_000);
+        return report(number, mRandom.nextInt(3), mRandom.nextInt(2), tokens);
+    }
+
+    private EngineReport report(int number, int running, int queued, int tokens) {
+        return new EngineReport(
+                engine(number),
+                incarnation(number),
+                POOLS.get(number % 2),
+                number < 3 ? Set.of(WEIGHTS.get(0)) : Set.copyOf(WEIGHTS),
+                2,
+                running,
+                queued,
+                tokens,
+                Scene.SPEED,
+                100,
+                1_000,
+                mRandom.nextInt(200));
+    }
+
+    /** Events that make every engine idle and available. */
+    List<RouteEvent> allIdle() {
+        List<RouteEvent> events = new ArrayList<>();
+        for (int number = 0; number < ENGINES; number++) {
+            events.add(new RouteEvent.Reported(report(number, 0, 0, 0)));
+            events.add(new RouteEvent.Available(engine(number)));
+        }
+        return events;
+    }
+
+    /** An event that ends what an engine does for a request. */
+    static RouteEvent finished(RequestId request, EngineId engine) {
+        return new RouteEvent.Finished(request, engine, RouteEvent.AttemptEnd.FAILED);
+    }
+
+    private RouteEvent arrival(long now) {
+        List<RouteRequest> known = new ArrayList<>(mSeen.values());
+        if (!known.isEmpty() && mRandom.nextInt(5) == 0) {
+            known.sort((a, b) -> a.id().compareTo(b.id()));
+            return new RouteEvent.Arrived(pick(known), excluded());
+        }
+        RouteRequest request = request(now);
+        return new RouteEvent.Arrived(request, mRandom.nextInt(4) == 0 ? excluded() : List.of());
+    }
+
+    /** Returns a new request that some engine could answer. */
+    RouteRequest request(long now) {
+        int prefix = mRandom.nextInt(4);
+        int count = mRandom.nextInt(6);
+        RouteRequest request =
+                new RouteRequest(
+                        RequestId.of("r" + mSeen.size()),
+                        workspace(mRandom.nextInt(3)),
+                        pick(WEIGHTS),
+                        pick(POOLS),
+                        pick(List.of(Priority.values())),
+                        new PromptBlocks(
+                                Scene.blocks(prefix, count),
+                                count * PromptBlocks.TOKENS_PER_BLOCK + 1 + mRandom.nextInt(500)),
+                        100,
+                        now + (1 + mRandom.nextInt(9_000)) * Scene.MILLI);
+        mSeen.put(request.id(), request);
+        return request;
+    }
+
+    private List<EngineId> excluded() {
+        return List.of(engine(mRandom.nextInt(ENGINES)));
+    }
+
+    private RouteEvent progress() {
+        if (mAudit.mInFlight.isEmpty()) {
+            return new RouteEvent.Tick();
+        }
+        RequestId request = pick(mAudit.mInFlight.keySet());
+        EngineId engine = mAudit.mInFlight.get(request);
+        return switch (mRandom.nextInt(4)) {
+            case 0 -> new RouteEvent.Started(request, engine, mRandom.nextInt(6_000));
+            case 1 -> new RouteEvent.FirstToken(request, engine);
+            default -> finished(request, engine);
+        };
+    }
+
+    private RouteEvent cacheEvent(int number) {
+        long step = mRandom.nextInt(5) == 0 ? 2 : 1;
+        long sequence = mSequences.merge(number, step, Long::sum);
+        var blocks = Scene.blocks(mRandom.nextInt(4), 1 + mRandom.nextInt(5));
+        if (mRandom.nextInt(4) == 0) {
+            return new RouteEvent.CacheSnapshot(
+                    engine(number), incarnation(number), sequence, blocks);
+        }
+        var change = pick(List.of(RouteEvent.CacheChange.values()));
+        return new RouteEvent.CacheChanged(
+                engine(number), incarnation(number), sequence, change, blocks);
+    }
+
+    private Incarnation incarnation(int number) {
+        return Incarnation.of("start" + mStarts.getOrDefault(number, 0));
+    }
+
+    private <T> T pick(Collection<T> from) {
+        return List.copyOf(from).get(mRandom.nextInt(from.size()));
+    }
+
+    private static EngineId engine(int number) {
+        return EngineId.of("e" + number);
+    }
+
+    private static WorkspaceId workspace(int number) {
+        return WorkspaceId.of("w" + number);
+    }
+}
