--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/route/QueueUnderTest.java
@@ -0,0 +1,64 @@
+package org.catkinproxy.route;
+
+import org.catkinproxy.id.WorkspaceId;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+/** A wait queue, or one that breaks a rule. */
+final class QueueUnderTest {
+    final WaitQueue mQueue = new WaitQueue();
+    private final Fault mFault;
+
+    /** The rule that is broken. */
+    enum Fault {
+        NONE,
+        IGNORES_SHARES,
+        CHARGES_NOTHING,
+        FORGETS_REMOVALS,
+        STARVES_LOWER_PRIORITIES,
+        IGNORES_PRIORITIES,
+        SERVES_LATEST_FIRST
+    }
+
+    QueueUnderTest(Fault fault) {
+        mFault = fault;
+    }
+
+    void setShares(Map<WorkspaceId, Integer> shares) {
+        if (mFault != Fault.IGNORES_SHARES) {
+            mQueue.setShares(new ShareTable(shares));
+        }
+    }
+
+    void remove(Waiting waiting) {
+        if (mFault != Fault.FORGETS_REMOVALS) {
+            mQueue.remove(waiting);
+        }
+    }
+
+    List<Waiting> first(int limit) {
+        if (mFault == Fault.STARVES_LOWER_PRIORITIES) {
+            List<Waiting> all = new ArrayList<>(mQueue.first(Integer.MAX_VALUE / 2));
+            all.sort(Comparator.comparing(w -> w.mRequest.priority()));
+            return all.stream().limit(limit).toList();
+        } else if (mFault == Fault.IGNORES_PRIORITIES) {
+            return mQueue.all().stream().limit(limit).toList();
+        } else if (mFault == Fault.SERVES_LATEST_FIRST) {
+            List<Waiting> all = new ArrayList<>(mQueue.first(Integer.MAX_VALUE / 2));
+            Collections.reverse(all);
+            return all.stream().limit(limit).toList();
+        }
+        return mQueue.first(limit);
+    }
+
+    void serve(Waiting waiting) {
+        long cost = waiting.mCostTokens;
+        waiting.mCostTokens = mFault == Fault.CHARGES_NOTHING ? 0 : cost;
+        mQueue.serve(waiting);
+        waiting.mCostTokens = cost;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/route/WaitQueueDifferentialTest.java
@@ -0,0 +1,239 @@
+package org.catkinproxy.route;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import org.catkinproxy.cache.PromptBlocks;
+import org.catkinproxy.config.Priority;
+import org.catkinproxy.id.RequestId;
+import org.catkinproxy.id.WorkspaceId;
+import org.catkinproxy.route.QueueUnderTest.Fault;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+/** The queue of waiting requests against a naive one, and against the promises it makes. */
+class WaitQueueDifferentialTest {
+    private static final int STEPS = 120;
+    private static final int MAX_COST = 5_000;
+    private static final int WORKSPACES = 4;
+
+    @Property(seed = "20261204", tries = 1_000)
+    void queueOrdersAsTheNaiveOneDoes(@ForAll long seed) {
+        assertThat(firstDifference(seed, Fault.NONE)).isEmpty();
+    }
+
+    /** Shows that the check above can fail. */
+    @Example
+    void everyBrokenRuleIsCaught() {
+        for (Fault fault : EnumSet.complementOf(EnumSet.of(Fault.NONE))) {
+            int caught = 0;
+            for (int seed = 0; seed < 20; seed++) {
+                caught += firstDifference(seed, fault).isEmpty() ? 0 : 1;
+            }
+            assertWithMessage("runs in which it was caught: " + fault)
+                    .that(caught)
+                    .isGreaterThan(0);
+        }
+    }
+
+    @Property(seed = "20261204", tries = 300)
+    void busyWorkspacesGetTheirSharesWithinOneRequestEach(@ForAll long seed) {
+        assertThat(worstUnfairness(seed, Fault.NONE)).isAtMost(1);
+    }
+
+    @Example
+    void unfairQueuesAreCaught() {
+        assertThat(worstUnfairness(1, Fault.IGNORES_SHARES)).isGreaterThan(1);
+        assertThat(worstUnfairness(1, Fault.CHARGES_NOTHING)).isGreaterThan(1);
+    }
+
+    @Example
+    void urgentGoesFirstAndEachLowerPriorityOnceInNine() {
+        List<Priority> served = servedUnderLoad(Fault.NONE);
+        assertThat(served.subList(0, 10))
+                .containsExactly(
+                        Priority.ALARM,
+                        Priority.ALARM,
+                        Priority.ALARM,
+                        Priority.ALARM,
+                        Priority.ALARM,
+                        Priority.ALARM,
+                        Priority.ALARM,
+                        Priority.NORMAL,
+                        Priority.DRAFT,
+                        Priority.ALARM)
+                .inOrder();
+        for (int from = 0; from + 9 <= served.size(); from++) {
+            assertThat(served.subList(from, from + 9)).containsAtLeastElementsIn(Priority.values());
+        }
+        assertThat(Set.copyOf(servedUnderLoad(Fault.STARVES_LOWER_PRIORITIES)))
+                .containsExactly(Priority.ALARM);
+    }
+
+    @Example
+    void idleWorkspaceSavesNothingUp() {
+        QueueUnderTest queue = new QueueUnderTest(Fault.NONE);
+        for (int i = 0; i < 60; i++) {
+            queue.mQueue.add(waiting("busy" + i, "busy", Priority.NORMAL, 100, i));
+        }
+        for (int i = 0; i < 40; i++) {
+            queue.serve(queue.first(1).get(0));
+        }
+        for (int i = 0; i < 20; i++) {
+            queue.mQueue.add(waiting("late" + i, "late", Priority.NORMAL, 100, 60 + i));
+        }
+        long late =
+                queue.first(10).stream()
+                        .filter(w -> w.mRequest.workspace().equals(WorkspaceId.of("late")))
+                        .count();
+        assertThat(late).isIn(Set.of(5L, 6L));
+    }
+
+    @Example
+    void shareIsOneWhereNoneOrLessIsNamed() {
+        WorkspaceId named = WorkspaceId.of("named");
+        assertThat(new ShareTable(Map.of(named, 3)).of(named)).isEqualTo(3.0);
+        assertThat(new ShareTable(Map.of(named, 0)).of(named)).isEqualTo(1.0);
+        assertThat(ShareTable.EQUAL.of(named)).isEqualTo(1.0);
+    }
+
+    /** Returns what is different first, empty if nothing is. */
+    private static String firstDifference(long seed, Fault fault) {
+        Random random = new Random(seed);
+        QueueUnderTest queue = new QueueUnderTest(fault);
+        NaiveFairQueue naive = new NaiveFairQueue();
+        for (int step = 0; step < STEPS; step++) {
+            int kind = random.nextInt(20);
+            if (kind < 10 || naive.mWaiting.isEmpty()) {
+                Waiting added = anyWaiting(random, step);
+                queue.mQueue.add(added);
+                naive.add(added);
+            } else if (kind < 16) {
+                List<Waiting> first = queue.first(1 + random.nextInt(3));
+                Waiting served = first.get(first.size() - 1);
+                queue.serve(served);
+                naive.serve(served);
+            } else if (kind < 18) {
+                Waiting removed = naive.mWaiting.get(random.nextInt(naive.mWaiting.size()));
+                queue.remove(removed);
+                naive.mWaiting.remove(removed);
+            } else if (kind < 19) {
+                naive.mWaiting.get(random.nextInt(naive.mWaiting.size())).mCostTokens =
+                        random.nextInt(MAX_COST);
+            } else {
+                Map<WorkspaceId, Integer> shares = Map.of(workspace(0), 1 + random.nextInt(5));
+                queue.setShares(shares);
+                naive.setShares(shares);
+            }
+            int limit = 1 + random.nextInt(30);
+            List<RequestId> order = queue.first(limit).stream().map(w -> w.mRequest.id()).toList();
+            List<RequestId> expected = naive.order().stream().limit(limit).toList();
+            RouteRequest other = anyWaiting(random, step).mRequest;
+            Waiting least = queue.mQueue.leastWanted();
+            boolean same =
+                    order.equals(expected)
+                            && queue.mQueue.size() == naive.mWaiting.size()
+                            && queue.mQueue.isBehindOverdue(step, other)
+                                    == naive.isBehindOverdue(step, other)
+                            && (least == null
+                                    ? naive.mWaiting.isEmpty()
+                                    : naive.leastWanted().contains(least.mRequest.id()));
+            if (!same) {
+                return "step " + step + ": " + order + " for " + expected;
+            }
+        }
+        return "";
+    }
+
+    /**
+     * Returns how far apart two busy workspaces got over any time, in the service per share that
+     * start-time fair queueing allows: the largest request of each.
+     */
+    private static double worstUnfairness(long seed, Fault fault) {
+        Random random = new Random(seed);
+        QueueUnderTest queue = new QueueUnderTest(fault);
+        Map<WorkspaceId, Integer> shares = new HashMap<>();
+        for (int i = 0; i < WORKSPACES; i++) {
+            shares.put(workspace(i), 1 + i * random.nextInt(4));
+            for (int j = 0; j < 3; j++) {
+                queue.mQueue.add(busy(random, i, "first" + i + "-" + j));
+            }
+        }
+        queue.setShares(shares);
+        double[] given = new double[WORKSPACES];
+        double[][] least = new double[WORKSPACES][WORKSPACES];
+        double worst = 0;
+        for (int step = 0; step < 400; step++) {
+            Waiting served = queue.first(1).get(0);
+            queue.serve(served);
+            int number = Integer.parseInt(served.mRequest.workspace().value().substring(1));
+            given[number] += served.mCostTokens / (double) shares.get(workspace(number));
+            queue.mQueue.add(busy(random, number, "r" + step));
+            for (int a = 0; a < WORKSPACES; a++) {
+                for (int b = 0; b < WORKSPACES; b++) {
+                    double ahead = given[a] - given[b];
+                    double allowed =
+                            MAX_COST / (double) shares.get(workspace(a))
+                                    + MAX_COST / (double) shares.get(workspace(b));
+                    least[a][b] = Math.min(least[a][b], ahead);
+                    worst = Math.max(worst, (ahead - least[a][b]) / allowed);
+                }
+            }
+        }
+        return worst;
+    }
+
+    private static List<Priority> servedUnderLoad(Fault fault) {
+        QueueUnderTest queue = new QueueUnderTest(fault);
+        List<Priority> served = new ArrayList<>();
+        for (int step = 0; step < 100; step++) {
+            for (Priority priority : Priority.values()) {
+                queue.mQueue.add(waiting(priority.name() + step, "w", priority, 100, step));
+            }
+            Waiting first = queue.first(1).get(0);
+            served.add(first.mRequest.priority());
+            queue.serve(first);
+        }
+        return served;
+    }
+
+    private static Waiting anyWaiting(Random random, int step) {
+        Priority priority = Priority.values()[random.nextInt(Priority.values().length)];
+        int cost = random.nextInt(MAX_COST);
+        return waiting("r" + step, "w" + random.nextInt(WORKSPACES), priority, cost, step);
+    }
+
+    private static Waiting busy(Random random, int workspace, String id) {
+        int cost = 1 + random.nextInt(MAX_COST);
+        return waiting(id, "w" + workspace, Priority.NORMAL, cost, 0);
+    }
+
+    private static Waiting waiting(
+            String id, String workspace, Priority priority, int tokens, long now) {
+        RouteRequest request =
+                new RouteRequest(
+                        RequestId.of(id),
+                        WorkspaceId.of(workspace),
+                        Scene.WEIGHTS,
+                        Scene.POOL,
+                        priority,
+                        new PromptBlocks(List.of(), tokens),
+                        100,
+                        now + 100);
+        return new Waiting(request, Set.of(), now);
+    }
+
+    private static WorkspaceId workspace(int number) {
+        return WorkspaceId.of("w" + number);
+    }
+}
