--- a/bench/src/main/java/org/catkinproxy/bench/Contender.java
+++ b/bench/src/main/java/org/catkinproxy/bench/Contender.java
@@ -36,7 +36,7 @@
         @Override
         Decider create(Deployment deployment, List<FakeEngine> engines, long seed) {
             DispatchSettings settings = new DispatchSettings(deployment.policy(), MAX_QUEUED);
-            Dispatcher dispatcher = Dispatcher.create(settings, new Random(seed));
+            Dispatcher dispatcher = Dispatcher.create(settings);
             return new DispatcherDecider(dispatcher);
         }
     },
--- a/bench/src/main/java/org/catkinproxy/bench/CostScene.java
+++ b/bench/src/main/java/org/catkinproxy/bench/CostScene.java
@@ -16,7 +16,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -32,7 +31,7 @@
     private static final long NOW = 1_000 * EventLoop.SECOND;
 
     private final Dispatcher mDispatcher =
-            Dispatcher.create(new DispatchSettings(RoutingPolicy.HIT_FIRST, 100), new Random(1));
+            Dispatcher.create(new DispatchSettings(RoutingPolicy.HIT_FIRST, 100));
     private final SplittableRandom mRandom = new SplittableRandom(1);
     private final int mEngines;
     private final long[] mSequences;
--- a/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
@@ -24,11 +24,8 @@
         if (!scene.holdSoon(engine)) {
             return;
         }
-        long start = System.nanoTime();
         try {
-            scene.cluster().list(engine, "leaving");
-            Cluster.sleep(LISTED);
-            boolean listed = scene.isUndisturbedSince(scene.cluster().platform(), start);
+            boolean listed = list(scene, engine);
             Cluster.sleep(LIMIT.minus(LISTED));
             long before = generations(engine);
             Cluster.sleep(WATCHED);
@@ -48,6 +45,22 @@
         }
     }
 
+    /**
+     * Lists the engine as leaving, and waits until daemons have read of it.
+     *
+     * @return whether the list could be read meanwhile
+     */
+    private static boolean list(Scene scene, Member engine) {
+        Member platform = scene.cluster().platform();
+        boolean readable = scene.holdSoon(platform);
+        scene.cluster().list(engine, "leaving");
+        Cluster.sleep(LISTED);
+        if (readable) {
+            scene.release(platform);
+        }
+        return readable;
+    }
+
     private static long generations(Member engine) throws IOException {
         Request request = new Request.Builder().url(engine.url() + "/admin/log").build();
         Web.Answer answer = Web.send(Web.bounded(Duration.ofSeconds(2)), request);
--- a/cli/src/main/java/org/catkinproxy/cli/BurnChart.java
+++ b/cli/src/main/java/org/catkinproxy/cli/BurnChart.java
@@ -119,6 +119,7 @@
     }
 
     private static void style(Styler styler) {
+        styler.setDecimalPattern("#0.0");
         styler.setLegendPosition(Styler.LegendPosition.OutsideE);
         styler.setChartBackgroundColor(Color.WHITE);
         styler.setPlotBorderVisible(false);
--- a/core/src/main/java/org/catkinproxy/route/Dispatcher.java
+++ b/core/src/main/java/org/catkinproxy/route/Dispatcher.java
@@ -14,16 +14,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.random.RandomGenerator;
 
 /**
  * Decides where each request goes, which wait, and which are refused.
  *
  * <p>A state machine: each event, with the time at which it came, gives actions. The same events
- * and the same random generator give the same actions. Invariants: a request is waiting, in flight
- * at one engine, or unknown; it is dispatched only to an engine that is fit, of its pool, with
- * exactly its weights, and not excluded; what is refused by a {@link RouteAction.Refuse} was given
- * to no engine since it arrived.
+ * give the same actions. Invariants: a request is waiting, in flight at one engine, or unknown; it
+ * is dispatched only to an engine that is fit, of its pool, with exactly its weights, and not
+ * excluded; what is refused by a {@link RouteAction.Refuse} was given to no engine since it
+ * arrived.
  *
  * <p>Not safe for use by several threads: one task owns it.
  */
@@ -53,8 +52,7 @@
     }
 
     /** Returns a dispatcher that knows no engine. */
-    public static Dispatcher create(DispatchSettings settings, RandomGenerator random) {
-        checkNotNull(random, "random");
+    public static Dispatcher create(DispatchSettings settings) {
         return new Dispatcher(settings);
     }
 
--- a/core/src/test/java/org/catkinproxy/route/RouterUnderTest.java
+++ b/core/src/test/java/org/catkinproxy/route/RouterUnderTest.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.Set;
 
 /** A dispatcher, or one that is made to break a rule by being told something else. */
@@ -44,9 +43,7 @@
 
     RouterUnderTest(Fault fault, int maxQueued) {
         mFault = fault;
-        mDispatcher =
-                Dispatcher.create(
-                        new DispatchSettings(RoutingPolicy.HIT_FIRST, maxQueued), new Random(1));
+        mDispatcher = Dispatcher.create(new DispatchSettings(RoutingPolicy.HIT_FIRST, maxQueued));
     }
 
     List<RouteAction> handle(long now, RouteEvent event) {
--- a/core/src/test/java/org/catkinproxy/route/Scene.java
+++ b/core/src/test/java/org/catkinproxy/route/Scene.java
@@ -12,7 +12,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 import java.util.Set;
 
 /** A dispatcher with short ways to tell it things, on a clock that the test moves. */
@@ -28,7 +27,7 @@
     private int mRequests;
 
     Scene(RoutingPolicy policy, int maxQueued) {
-        mDispatcher = Dispatcher.create(new DispatchSettings(policy, maxQueued), new Random(1));
+        mDispatcher = Dispatcher.create(new DispatchSettings(policy, maxQueued));
     }
 
     static EngineId engine(String id) {
--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -112,7 +112,6 @@
         mDispatch =
                 DispatchTask.start(
                         settings.dispatch(),
-                        new SplittableRandom(),
                         System::nanoTime,
                         Schedulers.computation(),
                         mEngines::resync);
--- a/daemon/src/main/java/org/catkinproxy/dispatch/DispatchTask.java
+++ b/daemon/src/main/java/org/catkinproxy/dispatch/DispatchTask.java
@@ -23,7 +23,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.random.RandomGenerator;
 
 /**
  * Owns the dispatcher: gives it events one at a time and carries out its actions.
@@ -43,11 +42,10 @@
 
     private DispatchTask(
             DispatchSettings settings,
-            RandomGenerator random,
             LongSupplier clock,
             Scheduler scheduler,
             Consumer<EngineId> resync) {
-        mDispatcher = Dispatcher.create(settings, random);
+        mDispatcher = Dispatcher.create(settings);
         mClock = clock;
         mResync = resync;
         mMailbox =
@@ -69,11 +67,10 @@
      */
     public static DispatchTask start(
             DispatchSettings settings,
-            RandomGenerator random,
             LongSupplier clock,
             Scheduler scheduler,
             Consumer<EngineId> resync) {
-        return new DispatchTask(settings, random, clock, scheduler, resync);
+        return new DispatchTask(settings, clock, scheduler, resync);
     }
 
     /** Tells the dispatcher of an event that is no arrival. */
