--- a/daemon/src/main/java/org/catkinproxy/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/catkinproxy/settings/SettingsReader.java
@@ -35,7 +35,10 @@
     private static final Duration MAX_WINDOW = Duration.ofDays(1);
     private static final Duration DEFAULT_CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration DEFAULT_CALL_TIMEOUT = Duration.ofSeconds(2);
-    private static final Duration DEFAULT_STOP_GRACE = Duration.ofSeconds(60);
+
+    /** Longer than the longest answer: 32,768 tokens at 31 ms take 17 minutes. */
+    private static final Duration DEFAULT_STOP_GRACE = Duration.ofMinutes(30);
+
     private static final Duration DEFAULT_ENTRIES_TTL = Duration.ofSeconds(5);
 
     private final SettingsTable mRoot;
