--- a/bench/src/main/java/org/catkinproxy/bench/LineFit.java
+++ b/bench/src/main/java/org/catkinproxy/bench/LineFit.java
@@ -1,11 +1,12 @@
 package org.catkinproxy.bench;
 
+import java.util.Arrays;
 import java.util.Locale;
 
 /** The least-squares line through points, with the root of its mean square error. Immutable. */
-record LineFit(double slope, double intercept, double error) {
+public record LineFit(double slope, double intercept, double error) {
     /** Returns the line through at least two different sizes. */
-    static LineFit of(int[] sizes, double[] values) {
+    public static LineFit of(int[] sizes, double[] values) {
         int n = sizes.length;
         double meanSize = 0;
         double meanValue = 0;
@@ -29,6 +30,13 @@
         return new LineFit(slope, intercept, Math.sqrt(error));
     }
 
+    /** Returns the standard error of the slope; {@code sizes} are the three or more fitted ones. */
+    public double slopeError(int[] sizes) {
+        double mean = Arrays.stream(sizes).average().orElseThrow();
+        double squares = Arrays.stream(sizes).mapToDouble(s -> (s - mean) * (s - mean)).sum();
+        return error * Math.sqrt(sizes.length / (sizes.length - 2.0) / squares);
+    }
+
     @Override
     public String toString() {
         return String.format(
--- a/bench/src/main/java/org/catkinproxy/demo/Child.java
+++ b/bench/src/main/java/org/catkinproxy/demo/Child.java
@@ -73,6 +73,11 @@
         return mProcess != null && mProcess.isAlive();
     }
 
+    /** Returns the id of the process, which must have been started. */
+    public synchronized long pid() {
+        return mProcess.pid();
+    }
+
     /** Ends the process at once, as a lost instance does. */
     public synchronized void kill() {
         if (mProcess != null) {
--- a/bench/src/main/java/org/catkinproxy/demo/DemoSheet.java
+++ b/bench/src/main/java/org/catkinproxy/demo/DemoSheet.java
@@ -37,13 +37,19 @@
      * @param leaving the ids of the instances that are to leave
      */
     public static String csv(Cluster cluster, String version, String pool, Set<String> leaving) {
+        List<Member> upstreams = new ArrayList<>(cluster.engines());
+        upstreams.addAll(cluster.services());
+        return csv(upstreams, version, pool, leaving);
+    }
+
+    /** Returns the sheet whose engines and services are {@code upstreams}. */
+    public static String csv(
+            List<Member> upstreams, String version, String pool, Set<String> leaving) {
         List<String> rows = new ArrayList<>();
         rows.add(HEADINGS);
         rows.add("pool,,,,,gpu-a,,,,fencing=checked loads=2");
         rows.add("pool,,,,,gpu-b,,,,fencing=ignored loads=2");
         rows.add("pool,,,,,desk,,,,");
-        List<Member> upstreams = new ArrayList<>(cluster.engines());
-        upstreams.addAll(cluster.services());
         for (Member upstream : upstreams) {
             String change = leaving.contains(upstream.id()) ? "leave" : "join";
             rows.add("instance,,,,," + upstream.pool() + "," + upstream.id() + ",,," + change);
