Find the engines of other groups when none of a prompt's group may answer

With more than 32 engines for the same weights, a prompt is weighed against the group that its first block names. Groups count engines that are silent or unavailable until they are forgotten after ten minutes, so a fleet that shrank or lost a group refused a part of the prompts with NO_ENGINE though fit engines stood idle in other groups. Now the next group stands in; routers that know the same engines still agree. A decision goes through all groups only while none of them may answer.

Ruled out: dividing only fit engines, since each router's view of silence differs and every change would move prompts from their caches.

Before: both examples of LargeFleetTest failed at their first prompt, 64 engines of which one is left. After: both pass. The time of a decision was not measured.

--- a/core/src/main/java/org/catkinproxy/route/EngineChooser.java
+++ b/core/src/main/java/org/catkinproxy/route/EngineChooser.java
@@ -78,11 +78,15 @@
     private List<EngineState> candidates(
             long nowNanos, RouteRequest request, Set<EngineId> excluded) {
         BlockKey first = firstBlock(request);
-        List<EngineState> group = mEngines.serving(request.pool(), request.weights()).group(first);
-        List<EngineState> candidates = new ArrayList<>(group.size() + mMatch.count());
-        for (EngineState engine : group) {
-            if (mayAnswer(nowNanos, engine, request, excluded)) {
-                candidates.add(engine);
+        EngineGroups groups = mEngines.serving(request.pool(), request.weights());
+        List<EngineState> group = List.of();
+        List<EngineState> candidates = new ArrayList<>();
+        for (int i = 0; i < groups.count() && candidates.isEmpty(); i++) {
+            group = groups.group(first, i);
+            for (EngineState engine : group) {
+                if (mayAnswer(nowNanos, engine, request, excluded)) {
+                    candidates.add(engine);
+                }
             }
         }
         for (int i = 0; i < mMatch.count(); i++) {
--- a/core/src/main/java/org/catkinproxy/route/EngineGroups.java
+++ b/core/src/main/java/org/catkinproxy/route/EngineGroups.java
@@ -9,9 +9,10 @@
  * The engines that serve the same, divided into groups by their ids.
  *
  * <p>A prompt is weighed against the group that its first block names and the engines that hold a
- * part of it, so that a decision takes the same time whatever the number of engines. Which group an
- * engine is in depends on its id and the number of groups only, so that routers agree. Immutable
- * but for the engines' states, which belong to the dispatcher's task.
+ * part of it, so that a decision takes the same time whatever the number of engines. Where none of
+ * a group may answer, the next group stands in for it, at the price of going through both. Which
+ * group an engine is in depends on its id and the number of groups only, so that routers agree.
+ * Immutable but for the engines' states, which belong to the dispatcher's task.
  */
 final class EngineGroups {
     /** Up to so many engines are all weighed. */
@@ -39,8 +40,15 @@
         return new EngineGroups(groups);
     }
 
-    /** Returns the group that a prompt's first block names, in the order of the ids. */
-    List<EngineState> group(BlockKey first) {
-        return mGroups.get((int) (first.low() & (mGroups.size() - 1)));
+    int count() {
+        return mGroups.size();
+    }
+
+    /**
+     * Returns the group that is {@code next} places after the one that a prompt's first block
+     * names, in the order of the ids.
+     */
+    List<EngineState> group(BlockKey first, int next) {
+        return mGroups.get((int) (first.low() + next & (mGroups.size() - 1)));
     }
 }
