Land the tests of two known faults of the queue as known red

Found by the differential tests: requests that can not go hold up others beyond the first 16 listed, and the bound on passing over lower priorities is not kept within one listing. Cause of both: Dispatcher.dispatchWaiting lists 16 requests once an event.

--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/route/HeadOfLineTest.java
@@ -0,0 +1,73 @@
+package org.catkinproxy.route;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.Tag;
+
+import org.catkinproxy.config.Priority;
+import org.catkinproxy.id.Incarnation;
+import org.catkinproxy.id.PoolId;
+
+import java.util.List;
+import java.util.Set;
+
+/** Requests that can not go yet, and others behind them that can. */
+@Tag("known-red")
+class HeadOfLineTest {
+    private final Scene mScene = new Scene(RoutingPolicy.HIT_FIRST, 100);
+
+    @Example
+    void requestsOfPoolWithoutEngineDoNotHoldUpAnotherPool() {
+        mScene.reported("a", "a1", 0);
+        for (int i = 0; i < 20; i++) {
+            assertThat(mScene.arrive(inPool("empty", Priority.NORMAL))).isEmpty();
+        }
+        assertGoesAtOnce(inPool("pool", Priority.NORMAL));
+    }
+
+    @Example
+    void alarmsOfBusyPoolDoNotHoldUpAnotherPool() {
+        mScene.reported("a", "a1", 0);
+        mScene.tell(new RouteEvent.Reported(busyReport()));
+        for (int i = 0; i < 20; i++) {
+            assertThat(mScene.arrive(inPool("busy", Priority.ALARM))).isEmpty();
+        }
+        assertGoesAtOnce(inPool("pool", Priority.NORMAL));
+    }
+
+    private void assertGoesAtOnce(RouteRequest request) {
+        List<RouteAction> actions = mScene.arrive(request);
+        assertThat(actions).hasSize(1);
+        assertThat(Scene.target(actions)).isEqualTo(Scene.engine("a"));
+    }
+
+    private static EngineReport busyReport() {
+        return new EngineReport(
+                Scene.engine("b"),
+                Incarnation.of("b1"),
+                new PoolId("busy"),
+                Set.of(Scene.WEIGHTS),
+                8,
+                0,
+                0,
+                10 * Scene.SPEED,
+                Scene.SPEED,
+                100,
+                1_000,
+                0);
+    }
+
+    private RouteRequest inPool(String pool, Priority priority) {
+        RouteRequest request = mScene.request(1, 1, priority, "w");
+        return new RouteRequest(
+                request.id(),
+                request.workspace(),
+                request.weights(),
+                new PoolId(pool),
+                request.priority(),
+                request.blocks(),
+                request.maxTokens(),
+                request.deadlineNanos());
+    }
+}
