--- a/core/src/main/java/org/catkinproxy/error/ErrorCode.java
+++ b/core/src/main/java/org/catkinproxy/error/ErrorCode.java
@@ -39,6 +39,13 @@
     STOPPING(503, "the instance is stopping"),
     PEER_UNREACHABLE(502, "the peer instance could not be reached"),
     STALE_ORDER(409, "the order carries an old fencing number"),
+    MALFORMED_HEAD(400, "the request's head can not be read as what it should be"),
+    HEAD_TOO_LARGE(431, "the request's head is over the limit"),
+    NO_ROUTE(404, "no route serves this host and path"),
+    NO_UPSTREAM(503, "no upstream of the service takes requests now"),
+    UPSTREAM_FAILED(502, "the upstream's answer did not come whole"),
+    TIMED_OUT(504, "no answer came in time"),
+    HISTORY_GONE(410, "the store no longer has the changes that were asked for"),
     INTERNAL(500, "the daemon failed");
 
     private static final int FIRST_SERVER_ERROR = 500;
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/serving/EngineLimits.java
@@ -0,0 +1,19 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * What one model engine of a service can hold.
+ *
+ * <p>Immutable, and so safe for use by any thread.
+ *
+ * @param slots the requests that it runs at once
+ * @param cacheTokens the tokens that its memory holds, running and cached
+ */
+public record EngineLimits(int slots, long cacheTokens) {
+    /** Checks the figures. */
+    public EngineLimits {
+        checkArgument(slots > 0, "slots is not positive: %s", slots);
+        checkArgument(cacheTokens > 0, "cacheTokens is not positive: %s", cacheTokens);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/serving/Prompt.java
@@ -0,0 +1,51 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.catkinproxy.id.ModelId;
+
+import java.util.List;
+
+/**
+ * What a request asks of a model engine.
+ *
+ * <p>Immutable, and so safe for use by any thread.
+ *
+ * @param model the model
+ * @param tokens the length of the whole prompt
+ * @param maxOutput the most tokens that are generated
+ * @param parts the parts in order; the last is the request's or session's own
+ */
+public record Prompt(ModelId model, int tokens, int maxOutput, List<PromptPart> parts) {
+    private static final long CHAIN_FACTOR = 0x9e37_79b9_7f4a_7c15L;
+
+    /** Checks the figures. */
+    public Prompt {
+        checkNotNull(model, "model");
+        checkArgument(tokens >= 0, "tokens is negative: %s", tokens);
+        checkArgument(maxOutput >= 0, "maxOutput is negative: %s", maxOutput);
+        parts = List.copyOf(parts);
+    }
+
+    /**
+     * Returns a key for each part that covers all parts up to it.
+     *
+     * @param scope told apart from other scopes: equal parts of two scopes have other keys
+     */
+    public long[] chainKeys(int scope) {
+        long[] keys = new long[parts.size()];
+        long key = mix(scope ^ model.hashCode());
+        for (int i = 0; i < keys.length; i++) {
+            key = mix(key * CHAIN_FACTOR + parts.get(i).id());
+            keys[i] = key;
+        }
+        return keys;
+    }
+
+    private static long mix(long value) {
+        long z = (value ^ (value >>> 30)) * 0xbf58_476d_1ce4_e5b9L;
+        z = (z ^ (z >>> 27)) * 0x94d0_49bb_1331_11ebL;
+        return z ^ (z >>> 31);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/serving/RetryRule.java
@@ -0,0 +1,42 @@
+package org.catkinproxy.serving;
+
+/**
+ * Decides whether a request goes to another upstream after a failure.
+ *
+ * <p>A request that may have run is sent again only where it may run again, and on no more
+ * upstreams than its route allows. One that certainly did not run may always be placed again. Both
+ * need time for an answer; only sends that reached an upstream draw on the budget. Stateless, and
+ * so safe for use by any thread.
+ */
+public final class RetryRule {
+    /** The most rejections after which one request is placed again. */
+    static final int MAX_REJECTIONS = 3;
+
+    private RetryRule() {}
+
+    /**
+     * Tells whether another send is allowed, budget apart.
+     *
+     * @param runs how many upstreams may have run the request
+     * @param rejections how many upstreams said that they did not
+     * @param leftNanos the time until the caller's deadline
+     */
+    public static boolean mayPlaceAgain(
+            Route route, SendFailure failure, int runs, int rejections, long leftNanos) {
+        if (leftNanos < leastNanos(route)) {
+            return false;
+        }
+        if (rejections > MAX_REJECTIONS) {
+            return false;
+        }
+        if (failure.isNotRun()) {
+            return runs < route.attempts() && (runs == 0 || route.mayRunAgain());
+        }
+        return route.mayRunAgain() && runs < route.attempts();
+    }
+
+    /** An answer that would need a tenth of the goal can not come in less. */
+    private static long leastNanos(Route route) {
+        return route.goal().toNanos() / 10;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/serving/SharedRetryBudget.java
@@ -0,0 +1,83 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * One instance's share of a budget of retries that all instances have together for a service.
+ *
+ * <p>In any window, all instances may send {@code ratio} times the window's requests plus {@code
+ * extra} second sends. An instance that does not ask the others may spend the ratio of its own
+ * requests and its part of the extra. Answers the load pattern in which many sends fail at once, as
+ * when an upstream dies, and second sends would multiply the load on the others. Not safe for use
+ * by several threads.
+ */
+public final class SharedRetryBudget {
+    private static final int BUCKETS = 20;
+
+    /** Instances count the members with a lag, and windows are not aligned. */
+    private static final double SAFETY = 0.8;
+
+    private final double mRatio;
+    private final double mExtra;
+    private final long mBucketNanos;
+    private final long[] mRequests = new long[BUCKETS];
+    private final long[] mRetries = new long[BUCKETS];
+    private long mBucket;
+
+    private SharedRetryBudget(double ratio, double extra, long windowNanos) {
+        checkArgument(ratio >= 0 && extra >= 0, "ratio %s, extra %s", ratio, extra);
+        checkArgument(windowNanos > 0, "windowNanos: %s", windowNanos);
+        mRatio = ratio;
+        mExtra = extra;
+        mBucketNanos = windowNanos / BUCKETS;
+    }
+
+    /** Returns a budget in which nothing was sent yet. */
+    public static SharedRetryBudget of(double ratio, double extra, long windowNanos) {
+        return new SharedRetryBudget(ratio, extra, windowNanos);
+    }
+
+    /** Counts a request of a caller. */
+    public void requested(long now) {
+        advance(now);
+        mRequests[index(mBucket)]++;
+    }
+
+    /**
+     * Counts a second send if there is room for it.
+     *
+     * @param instances how many instances share the budget
+     */
+    public boolean tryRetry(long now, int instances) {
+        advance(now);
+        double allowed = SAFETY * (mRatio * sum(mRequests) + mExtra / Math.max(1, instances));
+        if (sum(mRetries) + 1 > allowed) {
+            return false;
+        }
+        mRetries[index(mBucket)]++;
+        return true;
+    }
+
+    private void advance(long now) {
+        long bucket = Math.floorDiv(now, mBucketNanos);
+        long steps = Math.min(bucket - mBucket, BUCKETS);
+        for (long i = 0; i < steps; i++) {
+            int stale = index(bucket - i);
+            mRequests[stale] = 0;
+            mRetries[stale] = 0;
+        }
+        mBucket = Math.max(mBucket, bucket);
+    }
+
+    private static int index(long bucket) {
+        return (int) Math.floorMod(bucket, (long) BUCKETS);
+    }
+
+    private static long sum(long[] buckets) {
+        long sum = 0;
+        for (long count : buckets) {
+            sum += count;
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamLoad.java
@@ -0,0 +1,204 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.base.Preconditions.checkState;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalInt;
+
+/**
+ * What one instance believes of one upstream: its load, speed, failures and cached prompts.
+ *
+ * <p>The belief rests on the requests that this instance sent there, and so lags and is partial.
+ * Times are nanoseconds of the owner's monotonic clock. Not safe for use by several threads.
+ */
+public final class UpstreamLoad {
+    private static final double SMOOTHING = 0.2;
+
+    /** Share of an upstream's memory that cached prompts are believed to keep. */
+    private static final double CACHE_SHARE = 0.7;
+
+    private static final long FIRST_SUSPICION_NANOS = 400_000_000L;
+    private static final long LONGEST_SUSPICION_NANOS = 4_000_000_000L;
+    private static final double LEAST_SLOWNESS = 0.3;
+    private static final double MOST_SLOWNESS = 20;
+
+    private Upstream mUpstream;
+    private int mInFlight;
+    private long mPendingTokens;
+    private double mSlowness = 1;
+    private double mErrorShare;
+    private long mErrorSeenAt;
+    private long mSuspectUntil;
+    private long mSuspicion;
+    private boolean mSuspected;
+    private long mRejectsUntil;
+    private boolean mRejects;
+    private OptionalInt mSeenVersion = OptionalInt.empty();
+    private final CachedParts mCached;
+
+    /** The parts that were sent there last, the least recently used first. */
+    private static final class CachedParts extends LinkedHashMap<Long, Integer> {
+        private static final long serialVersionUID = 1L;
+
+        private final long mCapacity;
+        private long mTokens;
+
+        CachedParts(long capacity) {
+            super(16, 0.75f, true);
+            mCapacity = capacity;
+        }
+
+        void use(long key, int tokens) {
+            if (get(key) == null) {
+                put(key, tokens);
+                mTokens += tokens;
+            }
+            trim();
+        }
+
+        private void trim() {
+            var eldest = entrySet().iterator();
+            while (mTokens > mCapacity && eldest.hasNext()) {
+                Map.Entry<Long, Integer> entry = eldest.next();
+                mTokens -= entry.getValue();
+                eldest.remove();
+            }
+        }
+
+        void forget() {
+            clear();
+            mTokens = 0;
+        }
+    }
+
+    private UpstreamLoad(Upstream upstream, long cacheTokens) {
+        mUpstream = upstream;
+        mCached = new CachedParts((long) (cacheTokens * CACHE_SHARE));
+    }
+
+    /** Returns the belief about an upstream of which nothing is known yet. */
+    public static UpstreamLoad of(Upstream upstream, long cacheTokens) {
+        return new UpstreamLoad(upstream, cacheTokens);
+    }
+
+    /** Returns the upstream as it is listed. */
+    public Upstream upstream() {
+        return mUpstream;
+    }
+
+    /** Takes another listing of the same start of the upstream. */
+    public void relist(Upstream upstream) {
+        if (!upstream.weights().equals(mUpstream.weights())) {
+            mCached.forget();
+            mRejects = false;
+            mSeenVersion = OptionalInt.empty();
+        }
+        mUpstream = upstream;
+    }
+
+    /** Notes the weights version that an answer named. */
+    public void sawVersion(int version) {
+        if (mSeenVersion.isPresent() && mSeenVersion.getAsInt() != version) {
+            mCached.forget();
+        }
+        mSeenVersion = OptionalInt.of(version);
+    }
+
+    /** Returns the highest version that the upstream is known to have of {@code prompt}'s model. */
+    public int version(Prompt prompt) {
+        int listed = mUpstream.weights().getOrDefault(prompt.model(), 0);
+        return Math.max(listed, mSeenVersion.orElse(0));
+    }
+
+    /** Counts a request that is sent there. */
+    public void sent(long pendingTokens) {
+        mInFlight++;
+        mPendingTokens += pendingTokens;
+    }
+
+    /** Notes that the first piece of an answer came, or that none will. */
+    public void prefilled(long pendingTokens) {
+        mPendingTokens -= pendingTokens;
+        checkState(mPendingTokens >= 0, "pending tokens are negative");
+    }
+
+    /** Notes that a request ended. */
+    public void ended() {
+        mInFlight--;
+        checkState(mInFlight >= 0, "requests in flight are negative");
+    }
+
+    /** Notes how long an answer took, relative to what was expected of an ordinary upstream. */
+    public void measured(double ratio) {
+        double bounded = Math.max(LEAST_SLOWNESS, Math.min(MOST_SLOWNESS, ratio));
+        mSlowness += SMOOTHING * (bounded - mSlowness);
+    }
+
+    /** Notes an answer, sound or with an error of the upstream's own. */
+    public void answered(boolean sound, long now) {
+        mErrorShare = errorShare(now) + SMOOTHING * ((sound ? 0 : 1) - errorShare(now));
+        mErrorSeenAt = now;
+        mSuspected = false;
+        mSuspicion = 0;
+    }
+
+    /** Notes that the upstream could not be reached or went silent. */
+    public void unreachable(long now) {
+        boolean first = mSuspicion == 0;
+        mSuspicion =
+                first ? FIRST_SUSPICION_NANOS : Math.min(2 * mSuspicion, LONGEST_SUSPICION_NANOS);
+        mSuspectUntil = now + mSuspicion;
+        mSuspected = true;
+    }
+
+    /** Notes that the upstream takes no requests for about {@code nanos}. */
+    public void rejects(long now, long nanos) {
+        mRejects = true;
+        mRejectsUntil = now + nanos;
+    }
+
+    /** Tells whether it should get requests at {@code now} if another one can. */
+    public boolean isFit(long now) {
+        boolean suspect = mSuspected && mSuspectUntil - now > 0;
+        boolean rejecting = mRejects && mRejectsUntil - now > 0;
+        return !suspect && !rejecting && !mUpstream.leaving();
+    }
+
+    /** Returns the requests of this instance that run there. */
+    public int inFlight() {
+        return mInFlight;
+    }
+
+    /** Returns the prompt tokens that this instance's requests still wait for. */
+    public long pendingTokens() {
+        return mPendingTokens;
+    }
+
+    /** Returns how long it takes, relative to an ordinary upstream. */
+    public double slowness() {
+        return mSlowness;
+    }
+
+    /** Returns the share of errors among its late answers; it fades as time passes without any. */
+    public double errorShare(long now) {
+        double fadeNanos = 5e9;
+        return mErrorShare * Math.exp(-(now - mErrorSeenAt) / fadeNanos);
+    }
+
+    /** Returns how many tokens of a prompt with these keys it is believed to have cached. */
+    public int cachedTokens(Prompt prompt, long[] keys) {
+        int tokens = 0;
+        for (int i = 0; i < keys.length && mCached.containsKey(keys[i]); i++) {
+            tokens += prompt.parts().get(i).tokens();
+        }
+        return tokens;
+    }
+
+    /** Notes that a prompt with these keys was sent there. */
+    public void cached(Prompt prompt, long[] keys) {
+        for (int i = 0; i < keys.length; i++) {
+            mCached.use(keys[i], prompt.parts().get(i).tokens());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/serving/VersionRollout.java
@@ -0,0 +1,194 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.id.ModelId;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Works out which engines are to be asked, ordered and watched so that all get the newest weights.
+ *
+ * <p>Each engine is first asked for its state, then ordered on the condition that its count of
+ * orders is still the one it told, then asked again until it has the weights. An order whose answer
+ * was lost is settled by asking: if it was taken, the count has changed; if it comes late, its
+ * condition no longer holds. Only a few engines change at a time. Times are nanoseconds of the
+ * owner's monotonic clock. Not safe for use by several threads.
+ */
+public final class VersionRollout {
+    private static final long ASK_AGAIN_NANOS = 250_000_000L;
+
+    /** A step without an outcome is taken up again after this time. */
+    private static final long STEP_TIMEOUT_NANOS = 1_000_000_000L;
+
+    /** An engine that takes longer no longer holds back the others. */
+    private static final long CHANGE_TIMEOUT_NANOS = 5_000_000_000L;
+
+    private final int mConcurrent;
+    private final Map<InstanceId, Progress> mProgress = new HashMap<>();
+
+    /** What to do at one engine. */
+    public sealed interface Step {
+        /** Returns the engine. */
+        Upstream engine();
+
+        /** Ask the engine for its state. */
+        record Ask(Upstream engine) implements Step {}
+
+        /** Order the weights if the engine's count of orders is {@code orderCount}. */
+        record Order(Upstream engine, ModelId model, int version, long orderCount)
+                implements Step {}
+    }
+
+    /**
+     * What an engine says of itself.
+     *
+     * @param weights the version of each model
+     * @param busy whether it carries out an order
+     * @param orderCount how many orders it has accepted since its start
+     */
+    public record EngineReport(Map<ModelId, Integer> weights, boolean busy, long orderCount) {}
+
+    /** How far the change of one engine is. */
+    private static final class Progress {
+        private Upstream mEngine;
+        private boolean mChanging;
+        private long mChangingSince;
+        private long mNextAt;
+        private Optional<EngineReport> mReport = Optional.empty();
+
+        Progress(Upstream engine, long now) {
+            mEngine = engine;
+            mNextAt = now;
+        }
+    }
+
+    private VersionRollout(int concurrent) {
+        mConcurrent = concurrent;
+    }
+
+    /** Returns a rollout in which {@code concurrent} engines change at a time. */
+    public static VersionRollout of(int concurrent) {
+        checkArgument(concurrent >= 1, "concurrent is below 1: %s", concurrent);
+        return new VersionRollout(concurrent);
+    }
+
+    /** Returns the steps that are due. */
+    public List<Step> plan(Map<ModelId, Integer> wanted, Collection<Upstream> engines, long now) {
+        forgetOthers(engines);
+        List<Upstream> behind = engines.stream().filter(e -> isBehind(e, wanted)).toList();
+        finishOthers(behind);
+        int free = mConcurrent - changing(now);
+        List<Step> steps = new ArrayList<>();
+        for (Upstream engine : behind) {
+            Progress progress =
+                    mProgress.computeIfAbsent(engine.id(), k -> new Progress(engine, now));
+            progress.mEngine = engine;
+            boolean starts = !progress.mChanging;
+            if (progress.mNextAt - now > 0 || (starts && free <= 0)) {
+                continue;
+            }
+            Optional<Step> step = step(progress, wanted, now);
+            if (step.isPresent() && starts) {
+                progress.mChanging = true;
+                progress.mChangingSince = now;
+                free--;
+            }
+            step.ifPresent(steps::add);
+        }
+        return steps;
+    }
+
+    /** Tells whether an engine lacks any of the wanted weights, as far as is known. */
+    public boolean isBehind(Upstream engine, Map<ModelId, Integer> wanted) {
+        Progress progress = mProgress.get(engine.id());
+        boolean known = progress != null && progress.mEngine.isSameStart(engine);
+        Optional<EngineReport> report = known ? progress.mReport : Optional.empty();
+        return firstBehind(engine, report, wanted).isPresent();
+    }
+
+    /** Takes what an engine said. */
+    public void reported(Upstream engine, EngineReport report, long now) {
+        Progress progress = mProgress.get(engine.id());
+        if (progress == null) {
+            return;
+        }
+        progress.mReport = Optional.of(report);
+        progress.mNextAt = report.busy() ? now + ASK_AGAIN_NANOS : now;
+    }
+
+    /** Takes that an order was accepted, or that the engine has the weights already. */
+    public void ordered(Upstream engine, long now) {
+        askAgain(engine, now + ASK_AGAIN_NANOS);
+    }
+
+    /** Takes that a step has failed or that its outcome is unknown. */
+    public void failed(Upstream engine, long now) {
+        askAgain(engine, now + ASK_AGAIN_NANOS);
+    }
+
+    private void askAgain(Upstream engine, long at) {
+        Progress progress = mProgress.get(engine.id());
+        if (progress != null) {
+            progress.mReport = Optional.empty();
+            progress.mNextAt = at;
+        }
+    }
+
+    private Optional<Step> step(Progress progress, Map<ModelId, Integer> wanted, long now) {
+        Upstream engine = progress.mEngine;
+        progress.mNextAt = now + STEP_TIMEOUT_NANOS;
+        if (progress.mReport.isEmpty() || progress.mReport.get().busy()) {
+            return Optional.of(new Step.Ask(engine));
+        }
+        EngineReport report = progress.mReport.get();
+        return firstBehind(engine, progress.mReport, wanted)
+                .map(m -> new Step.Order(engine, m, wanted.get(m), report.orderCount()));
+    }
+
+    private static Optional<ModelId> firstBehind(
+            Upstream engine, Optional<EngineReport> report, Map<ModelId, Integer> wanted) {
+        Map<ModelId, Integer> has = report.map(EngineReport::weights).orElse(engine.weights());
+        return wanted.keySet().stream()
+                .sorted()
+                .filter(m -> has.containsKey(m) && has.get(m) < wanted.get(m))
+                .findFirst();
+    }
+
+    private void forgetOthers(Collection<Upstream> engines) {
+        Map<InstanceId, Upstream> listed = new HashMap<>();
+        engines.forEach(e -> listed.put(e.id(), e));
+        mProgress
+                .values()
+                .removeIf(
+                        p -> {
+                            Upstream now = listed.get(p.mEngine.id());
+                            return now == null || !now.isSameStart(p.mEngine);
+                        });
+    }
+
+    /** Engines that have the weights by their own report stay known until the list says so too. */
+    private void finishOthers(List<Upstream> behind) {
+        Set<InstanceId> ids = new HashSet<>();
+        behind.forEach(e -> ids.add(e.id()));
+        mProgress.values().stream()
+                .filter(p -> !ids.contains(p.mEngine.id()))
+                .forEach(p -> p.mChanging = false);
+    }
+
+    private int changing(long now) {
+        return (int)
+                mProgress.values().stream()
+                        .filter(p -> p.mChanging)
+                        .filter(p -> now - p.mChangingSince < CHANGE_TIMEOUT_NANOS)
+                        .count();
+    }
+}
--- a/daemon/src/test/java/org/catkinproxy/architecture/PackageArrowsTest.java
+++ b/daemon/src/test/java/org/catkinproxy/architecture/PackageArrowsTest.java
@@ -35,6 +35,7 @@
         "org.catkinproxy.order",
         "org.catkinproxy.revision",
         "org.catkinproxy.route",
+        "org.catkinproxy.serving",
         "org.catkinproxy.stop",
         "org.catkinproxy.stream"
     };
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Admission.java
@@ -0,0 +1,93 @@
+package org.catkinproxy.gateway;
+
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.error.Step;
+import org.catkinproxy.serving.Route;
+import org.catkinproxy.serving.ServingConfig;
+import org.catkinproxy.serving.WorkspaceAccess;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Decides whether a request may pass, and by which route. Stateless. */
+final class Admission {
+    private static final String NONE = "none";
+
+    private Admission() {}
+
+    /**
+     * Returns the exchange for a request that may pass.
+     *
+     * @throws CatkinException if it may not
+     */
+    static Exchange admit(
+            Gateway gateway, FrontConnection front, HttpRequest request, ByteBuf body) {
+        CallHead head = gateway.dialect().readCall(request.headers());
+        ServingConfig config =
+                gateway.config()
+                        .orElseThrow(
+                                () ->
+                                        refusal(
+                                                ErrorCode.NOT_CONFIGURED,
+                                                Step.ADMIT,
+                                                "no configuration yet"));
+        Route route = route(config, request);
+        Optional<WorkspaceAccess> access = access(config, route, head);
+        return new Exchange(
+                gateway,
+                front,
+                head,
+                request.method(),
+                request.uri(),
+                request.headers(),
+                body,
+                route,
+                access);
+    }
+
+    /** Returns the request's id for the log, or a word that says there is none. */
+    static String idOrNone(Dialect dialect, HttpHeaders headers) {
+        try {
+            return dialect.readCall(headers).id().value();
+        } catch (CatkinException e) {
+            // The reason is logged with the refusal itself.
+            return NONE;
+        }
+    }
+
+    private static Route route(ServingConfig config, HttpRequest request) {
+        List<String> hosts = request.headers().getAll(HttpHeaderNames.HOST);
+        if (hosts.size() != 1) {
+            throw refusal(ErrorCode.MALFORMED_HEAD, Step.PARSE, "not one host");
+        }
+        String uri = request.uri();
+        if (!uri.startsWith("/")) {
+            throw refusal(ErrorCode.MALFORMED_HEAD, Step.PARSE, "target is not a path");
+        }
+        int query = uri.indexOf('?');
+        String path = query < 0 ? uri : uri.substring(0, query);
+        return config.routes()
+                .find(hosts.get(0), path)
+                .orElseThrow(() -> refusal(ErrorCode.NO_ROUTE, Step.ROUTE, "no route"));
+    }
+
+    private static Optional<WorkspaceAccess> access(
+            ServingConfig config, Route route, CallHead head) {
+        Optional<WorkspaceAccess> access = head.key().flatMap(config::access);
+        if (access.isPresent() || route.isPublic() || !config.needsKeys()) {
+            return access;
+        }
+        ErrorCode code = head.key().isEmpty() ? ErrorCode.MISSING_KEY : ErrorCode.UNKNOWN_KEY;
+        throw refusal(code, Step.AUTHENTICATE, code.meaning());
+    }
+
+    private static CatkinException refusal(ErrorCode code, Step step, String message) {
+        return CatkinException.notRun(code, step, CatkinException.NO_PEER, message);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
@@ -0,0 +1,113 @@
+package org.catkinproxy.gateway;
+
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.id.ModelId;
+import org.catkinproxy.serving.ServingConfig;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Keeps the newest configuration and the newest versions of weights that operators named.
+ *
+ * <p>A version that is lower than the one in force is never taken. Used by the event loop only.
+ */
+final class ConfigFollower implements TableWatch.Listener {
+    private final Gateway mGateway;
+    private final Map<ModelId, Integer> mVersions = new HashMap<>();
+    private Optional<ServingConfig> mConfig = Optional.empty();
+    private boolean mConnected;
+
+    ConfigFollower(Gateway gateway) {
+        mGateway = gateway;
+    }
+
+    Optional<ServingConfig> config() {
+        return mConfig;
+    }
+
+    /** Tells whether the store answered last time. */
+    boolean isConnected() {
+        return mConnected;
+    }
+
+    /** Returns the newest named version of each model's weights. */
+    Map<ModelId, Integer> versions() {
+        return mVersions;
+    }
+
+    @Override
+    public void onTable(List<TableRow> rows) {
+        rows.forEach(this::take);
+    }
+
+    @Override
+    public void onChanges(List<TableRow> rows) {
+        rows.forEach(this::take);
+    }
+
+    @Override
+    public void onConnected() {
+        if (!mConnected) {
+            mConnected = true;
+            mGateway.log().record(GatewayEvent.STORE_REGAINED, "table", "operators");
+        }
+    }
+
+    @Override
+    public void onDisconnected(CatkinException reason) {
+        if (mConnected) {
+            mConnected = false;
+            mGateway.log().record(GatewayEvent.STORE_LOST, "table", "operators", "reason", reason);
+        }
+    }
+
+    private void take(TableRow row) {
+        if (row.content().isEmpty()) {
+            return;
+        }
+        try {
+            if (mGateway.rows().isConfig(row.key())) {
+                takeConfig(mGateway.rows().readConfig(row.content().get()));
+            } else {
+                mGateway.rows()
+                        .readVersion(row.key(), row.content().get())
+                        .ifPresent(this::takeVersion);
+            }
+        } catch (IllegalArgumentException e) {
+            mGateway.log()
+                    .record(
+                            GatewayEvent.CONFIG_UNREADABLE,
+                            "row",
+                            row.key(),
+                            "reason",
+                            e.getMessage());
+        }
+    }
+
+    private void takeConfig(ServingConfig config) {
+        if (mConfig.isPresent() && mConfig.get().version() >= config.version()) {
+            return;
+        }
+        mConfig = Optional.of(config);
+        mGateway.log().record(GatewayEvent.CONFIG_IN_FORCE, "version", config.version());
+    }
+
+    private void takeVersion(RowReader.NamedVersion named) {
+        Integer last = mVersions.put(named.model(), named.version());
+        if (last != null && last > named.version()) {
+            mVersions.put(named.model(), last);
+            return;
+        }
+        mGateway.log()
+                .record(
+                        GatewayEvent.VERSION_NAMED,
+                        "model",
+                        named.model(),
+                        "version",
+                        named.version());
+        mGateway.rollout().wake();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Dialect.java
@@ -0,0 +1,26 @@
+package org.catkinproxy.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+
+/**
+ * How requests and answers are spelt on the wire. Implementations are stateless, and so safe for
+ * use by any thread.
+ */
+public interface Dialect {
+    /**
+     * Reads the head of a caller's request.
+     *
+     * @throws org.catkinproxy.error.CatkinException if it can not be read
+     */
+    CallHead readCall(HttpHeaders headers);
+
+    /** Returns the headers of a request as it is sent to an upstream. */
+    HttpHeaders writeSend(HttpHeaders fromCaller, Send send);
+
+    /** Reads the head of an upstream's answer. */
+    AnswerHead readAnswer(HttpResponse response);
+
+    /** Returns the headers of an answer as they are passed to the caller. */
+    HttpHeaders writeAnswer(HttpHeaders fromUpstream);
+}
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/EventSplitter.java
@@ -0,0 +1,99 @@
+package org.catkinproxy.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+
+/**
+ * Cuts a stream into whole events, so that an event that breaks off is never passed on.
+ *
+ * <p>Used by the event loop only.
+ */
+final class EventSplitter {
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+
+    private ByteBuf mPending = Unpooled.EMPTY_BUFFER;
+    private long mLastId = Long.MIN_VALUE;
+
+    /**
+     * Takes a piece of the stream and returns the whole events up to its end, possibly none.
+     *
+     * @throws IllegalArgumentException if the ids of the events do not increase
+     */
+    ByteBuf take(ByteBuf piece) {
+        ByteBuf all = mPending.isReadable() ? Unpooled.wrappedBuffer(mPending, piece) : piece;
+        int end = endOfLastEvent(all);
+        if (end == all.readerIndex()) {
+            mPending = all;
+            return Unpooled.EMPTY_BUFFER;
+        }
+        ByteBuf whole = all.readRetainedSlice(end - all.readerIndex());
+        mPending = all.isReadable() ? all : Unpooled.EMPTY_BUFFER;
+        if (!all.isReadable()) {
+            all.release();
+        }
+        readIds(whole);
+        return whole;
+    }
+
+    /** Returns the id of the last whole event, empty before the first. */
+    OptionalLong lastId() {
+        return mLastId == Long.MIN_VALUE ? OptionalLong.empty() : OptionalLong.of(mLastId);
+    }
+
+    /** Tells whether the stream stands in the middle of an event. */
+    boolean isInEvent() {
+        return mPending.isReadable();
+    }
+
+    /** Forgets the event that has not ended; the stream goes on from the last whole one. */
+    void restart() {
+        if (mPending.isReadable()) {
+            mPending.release();
+        }
+        mPending = Unpooled.EMPTY_BUFFER;
+    }
+
+    private static int endOfLastEvent(ByteBuf bytes) {
+        int from = bytes.readerIndex();
+        for (int i = bytes.writerIndex() - 1; i > from; i--) {
+            if (bytes.getByte(i) == '\n' && bytes.getByte(i - 1) == '\n') {
+                return i + 1;
+            }
+        }
+        return from;
+    }
+
+    private void readIds(ByteBuf events) {
+        int at = events.readerIndex();
+        while (at < events.writerIndex()) {
+            int end = events.indexOf(at, events.writerIndex(), (byte) '\n');
+            if (startsWithId(events, at, end)) {
+                readId(events.toString(at, end - at, StandardCharsets.US_ASCII));
+            }
+            at = end + 1;
+        }
+    }
+
+    private static boolean startsWithId(ByteBuf events, int at, int end) {
+        return end - at > ID_FIELD.length
+                && ByteBufUtil.equals(
+                        events, at, Unpooled.wrappedBuffer(ID_FIELD), 0, ID_FIELD.length);
+    }
+
+    private void readId(String line) {
+        long id;
+        try {
+            id = Long.parseLong(line.substring(ID_FIELD.length).trim());
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("event id can not be read: " + line, e);
+        }
+        if (id <= mLastId) {
+            throw new IllegalArgumentException("event " + id + " after event " + mLastId);
+        }
+        mLastId = id;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/FrontConnection.java
@@ -0,0 +1,280 @@
+package org.catkinproxy.gateway;
+
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
+
+/**
+ * One connection of a caller, which carries one request at a time.
+ *
+ * <p>What a caller sends before its last request is answered waits. Used by the event loop only.
+ */
+final class FrontConnection extends ChannelInboundHandlerAdapter {
+    /** Messages that wait while a request is open; a caller that sends more is cut off. */
+    private static final int MAX_WAITING = 64;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final Gateway mGateway;
+    private final Deque<HttpObject> mWaiting = new ArrayDeque<>();
+    private Channel mChannel;
+    private HttpRequest mRequest;
+    private CompositeByteBuf mBody;
+    private Exchange mExchange;
+    private boolean mCloseAfter;
+    private long mActiveAt;
+
+    FrontConnection(Gateway gateway) {
+        mGateway = gateway;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mChannel = context.channel();
+        mActiveAt = mGateway.now();
+        mGateway.connected(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mGateway.disconnected(this);
+        dropRequest();
+        mWaiting.forEach(ReferenceCountUtil::release);
+        mWaiting.clear();
+        if (mExchange != null) {
+            Exchange exchange = mExchange;
+            mExchange = null;
+            exchange.callerGone();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (mExchange != null) {
+            mExchange.callerWritable(mChannel.isWritable());
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (mExchange == null && mWaiting.isEmpty()) {
+            take((HttpObject) message);
+        } else if (mWaiting.size() < MAX_WAITING) {
+            mWaiting.addLast((HttpObject) message);
+        } else {
+            ReferenceCountUtil.release(message);
+            mChannel.close();
+        }
+    }
+
+    private void take(HttpObject message) {
+        try {
+            mActiveAt = mGateway.now();
+            if (message.decoderResult().isFailure()) {
+                refuseUnreadable(message.decoderResult().cause());
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                mRequest = request;
+                mBody = Unpooled.compositeBuffer();
+                answerExpectation(request);
+            }
+            if (message instanceof HttpContent content && mRequest != null) {
+                takeBody(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void answerExpectation(HttpRequest request) {
+        if (HttpUtil.is100ContinueExpected(request)) {
+            mChannel.writeAndFlush(
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE,
+                            Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    private void takeBody(HttpContent content) {
+        if (content.content().isReadable()) {
+            mBody.addComponent(true, content.content().retain());
+        }
+        if (mBody.readableBytes() > mGateway.limits().bodyBytes()) {
+            refuseAndClose(ErrorCode.BODY_TOO_LARGE);
+        } else if (content instanceof LastHttpContent) {
+            begin();
+        }
+    }
+
+    private void begin() {
+        HttpRequest request = mRequest;
+        ByteBuf body = mBody;
+        mRequest = null;
+        mBody = null;
+        mCloseAfter |= !HttpUtil.isKeepAlive(request);
+        try {
+            mExchange = mGateway.admit(this, request, body);
+            mExchange.start();
+        } catch (CatkinException e) {
+            body.release();
+            mGateway.refused(request.headers(), e);
+            refuse(e.code(), mGateway.retryAfterMillis(Long.MAX_VALUE));
+        }
+    }
+
+    private void refuseUnreadable(Throwable cause) {
+        boolean tooLong =
+                cause instanceof TooLongHttpHeaderException
+                        || cause instanceof TooLongHttpLineException;
+        refuseAndClose(tooLong ? ErrorCode.HEAD_TOO_LARGE : ErrorCode.MALFORMED_HEAD);
+    }
+
+    private void refuseAndClose(ErrorCode code) {
+        dropRequest();
+        mCloseAfter = true;
+        mGateway.log().record(GatewayEvent.REQUEST_REFUSED, "code", code.wire());
+        refuse(code, 0);
+    }
+
+    private void dropRequest() {
+        mRequest = null;
+        if (mBody != null) {
+            mBody.release();
+            mBody = null;
+        }
+    }
+
+    /** Answers with an error of the gateway's own; 0 ms to come back names no time. */
+    void refuse(ErrorCode code, long retryAfterMillis) {
+        byte[] text = ("{\"error\":\"" + code.wire() + "\"}").getBytes(StandardCharsets.UTF_8);
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        if (retryAfterMillis > 0 && code.httpStatus() == 503) {
+            double seconds = retryAfterMillis / MILLIS_PER_SECOND;
+            headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds));
+        }
+        reply(HttpResponseStatus.valueOf(code.httpStatus()), headers, Unpooled.wrappedBuffer(text));
+    }
+
+    /** Answers with a whole answer; takes over {@code body}. */
+    void reply(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        boolean close = markClose(headers);
+        mChannel.writeAndFlush(
+                        new DefaultFullHttpResponse(
+                                HttpVersion.HTTP_1_1,
+                                status,
+                                body,
+                                headers,
+                                EmptyHttpHeaders.INSTANCE))
+                .addListener(close ? ChannelFutureListener.CLOSE : f -> {});
+        next(close);
+    }
+
+    /** Begins an answer whose length is not known. */
+    void startStream(HttpResponseStatus status, HttpHeaders headers) {
+        headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        mCloseAfter = markClose(headers);
+        mChannel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
+    }
+
+    /** Passes a piece of the answer on; takes it over. */
+    void streamPart(ByteBuf part) {
+        mChannel.writeAndFlush(new DefaultHttpContent(part));
+        if (!mChannel.isWritable() && mExchange != null) {
+            mExchange.callerWritable(false);
+        }
+    }
+
+    /** Ends an answer as complete. */
+    void endStream() {
+        mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                .addListener(mCloseAfter ? ChannelFutureListener.CLOSE : f -> {});
+        next(mCloseAfter);
+    }
+
+    /** Ends the connection, so that the answer can not be taken as complete. */
+    void abort() {
+        mExchange = null;
+        mChannel.close();
+    }
+
+    private boolean markClose(HttpHeaders headers) {
+        boolean close = mCloseAfter || mGateway.isStopping();
+        if (close) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        return close;
+    }
+
+    private void next(boolean closing) {
+        mExchange = null;
+        mActiveAt = mGateway.now();
+        if (closing) {
+            mWaiting.forEach(ReferenceCountUtil::release);
+            mWaiting.clear();
+            return;
+        }
+        mGateway.loop().execute(this::takeWaiting);
+    }
+
+    private void takeWaiting() {
+        while (mExchange == null && !mWaiting.isEmpty()) {
+            take(mWaiting.pollFirst());
+        }
+    }
+
+    /** Closes the connection if it has been without a request, or within one, for too long. */
+    void closeIfOverdue(long now) {
+        if (mExchange != null) {
+            return;
+        }
+        if (now - mActiveAt > mGateway.limits().idleTimeout().toNanos()) {
+            mChannel.close();
+        }
+    }
+
+    /** Closes the connection if no request is open. */
+    void closeIfIdle() {
+        if (mExchange == null && mRequest == null && mWaiting.isEmpty()) {
+            mChannel.close();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -0,0 +1,337 @@
+package org.catkinproxy.gateway;
+
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.id.ModelId;
+import org.catkinproxy.id.ServiceId;
+import org.catkinproxy.serving.RequestLimits;
+import org.catkinproxy.serving.ServingConfig;
+import org.catkinproxy.serving.SharedRetryBudget;
+import org.catkinproxy.serving.Upstream;
+import org.catkinproxy.serving.UpstreamChooser;
+import org.catkinproxy.serving.UpstreamLoad;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One gateway process: its listeners, its connections and what it knows.
+ *
+ * <p>Everything belongs to one event loop and may only be used on it.
+ */
+public final class Gateway {
+    private static final long SWEEP_MILLIS = 250;
+    private static final long LEAST_RETRY_AFTER_MILLIS = 150;
+    private static final long RETRY_AFTER_SPREAD_MILLIS = 450;
+
+    private final EventLoop mLoop;
+    private final GatewaySettings mSettings;
+    private final Dialect mDialect;
+    private final DirectoryDialect mDirectory;
+    private final RowReader mRows;
+    private final TableStore mStore;
+    private final EventLog mLog;
+    private final GatewayMetrics mMetrics = new GatewayMetrics();
+    private final SplittableRandom mRandom = new SplittableRandom();
+    private final UpstreamChooser mChooser = UpstreamChooser.of(mRandom);
+    private final UpstreamPool mPool;
+    private final Upstreams mUpstreams = new Upstreams(this);
+    private final ConfigFollower mConfig = new ConfigFollower(this);
+    private final Members mMembers;
+    private final RolloutTask mRollout;
+    private final StopSequence mStop;
+    private final Map<ServiceId, SharedRetryBudget> mBudgets = new HashMap<>();
+    private final Set<FrontConnection> mConnections = new HashSet<>();
+    private final Set<Exchange> mExchanges = new HashSet<>();
+    private Channel mFrontListener;
+
+    private Gateway(
+            EventLoop loop,
+            GatewaySettings settings,
+            Dialect dialect,
+            DirectoryDialect directory,
+            RowReader rows,
+            TableStore store,
+            EngineControl engines,
+            EventLog log) {
+        mLoop = loop;
+        mSettings = settings;
+        mDialect = dialect;
+        mDirectory = directory;
+        mRows = rows;
+        mStore = store;
+        mLog = log;
+        mPool = new UpstreamPool(loop, dialect);
+        String address = text(settings.front());
+        mMembers = new Members(this, store, settings.instance(), address);
+        String session = Long.toHexString(mRandom.nextLong());
+        mRollout =
+                new RolloutTask(
+                        this, store, engines, settings.instance(), session, settings.leaseTtl());
+        mStop = new StopSequence(this, settings.stopGrace());
+    }
+
+    /** Returns a gateway that does nothing yet. */
+    public static Gateway of(
+            EventLoop loop,
+            GatewaySettings settings,
+            Dialect dialect,
+            DirectoryDialect directory,
+            RowReader rows,
+            TableStore store,
+            EngineControl engines,
+            EventLog log) {
+        return new Gateway(loop, settings, dialect, directory, rows, store, engines, log);
+    }
+
+    /** Opens the listeners and follows the store. */
+    public void start() {
+        mFrontListener = listen().channel();
+        mSettings.probe().ifPresent(a -> SmallServer.listen(mLoop, a, this::answer));
+        mSettings.directory().ifPresent(a -> SmallServer.listen(mLoop, a, this::answer));
+        SmallServer.listen(mLoop, mSettings.metrics(), this::answer);
+        TableWatch.start(mLoop, mStore, mRows.operatorTable(), mConfig);
+        TableWatch.start(mLoop, mStore, mRows.upstreamTable(), mUpstreams);
+        mMembers.start();
+        mLoop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        mLog.record(
+                GatewayEvent.STARTED,
+                "front",
+                text(mSettings.front()),
+                "cpu",
+                mSettings.capacity());
+        mLog.flush();
+    }
+
+    /** Begins a planned stop; {@code onStopped} runs when the process may end. */
+    public void stop(Runnable onStopped) {
+        mLoop.execute(() -> mStop.begin(onStopped));
+    }
+
+    /** Notes that the settings file has changed; what it holds is fixed for a process's life. */
+    public void reloaded() {
+        mLog.record(GatewayEvent.SETTINGS_RELOADED, "config", configVersion());
+    }
+
+    private ChannelFuture listen() {
+        return new ServerBootstrap()
+                .group(mLoop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                channel.pipeline()
+                                        .addLast(new StrictRequestDecoder(limits().headerBytes()))
+                                        .addLast(new HttpResponseEncoder())
+                                        .addLast(new FrontConnection(Gateway.this));
+                            }
+                        })
+                .bind(mSettings.front());
+    }
+
+    private void sweep() {
+        long now = now();
+        List.copyOf(mConnections).forEach(c -> c.closeIfOverdue(now));
+        mPool.expire();
+        mUpstreams.expire();
+        mRollout.wake();
+        mLog.flush();
+    }
+
+    private SmallServer.Reply answer(String target) {
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        if (mDirectory.asksReadiness(path)) {
+            return new SmallServer.Reply(isReady() ? 200 : 503, "text/plain", new byte[0]);
+        }
+        if (mDirectory.asksAddresses(path)) {
+            byte[] body = mDirectory.writeAddresses(mMembers.addresses(), mSettings.entryTtl());
+            return new SmallServer.Reply(200, "application/json", body);
+        }
+        if (path.equals("/metrics")) {
+            byte[] text = mMetrics.scrape(this).getBytes(StandardCharsets.UTF_8);
+            return new SmallServer.Reply(200, "text/plain; version=0.0.4", text);
+        }
+        return new SmallServer.Reply(404, "text/plain", new byte[0]);
+    }
+
+    /**
+     * Returns the exchange for a request.
+     *
+     * @throws CatkinException if the request is not allowed or can not be read
+     */
+    Exchange admit(FrontConnection front, HttpRequest request, ByteBuf body) {
+        mStop.checkTakesRequests();
+        return Admission.admit(this, front, request, body);
+    }
+
+    /** Notes a request that was refused before it began. */
+    void refused(HttpHeaders headers, CatkinException reason) {
+        mLog.record(
+                GatewayEvent.REQUEST_REFUSED,
+                "request",
+                Admission.idOrNone(mDialect, headers),
+                "code",
+                reason.code().wire(),
+                "reason",
+                reason.getMessage(),
+                "config",
+                configVersion());
+    }
+
+    void connected(FrontConnection connection) {
+        mConnections.add(connection);
+    }
+
+    void disconnected(FrontConnection connection) {
+        mConnections.remove(connection);
+    }
+
+    void opened(Exchange exchange) {
+        mExchanges.add(exchange);
+    }
+
+    void closed(Exchange exchange) {
+        mExchanges.remove(exchange);
+    }
+
+    int openRequests() {
+        return mExchanges.size();
+    }
+
+    /** Closes the connections of callers that have no request open. */
+    void closeIdleConnections() {
+        List.copyOf(mConnections).forEach(FrontConnection::closeIfIdle);
+    }
+
+    void stopListening() {
+        mFrontListener.close();
+    }
+
+    /** Returns when callers are to come back, spread so that they do not come back together. */
+    long retryAfterMillis(long leftMillis) {
+        long spread = LEAST_RETRY_AFTER_MILLIS + mRandom.nextLong(RETRY_AFTER_SPREAD_MILLIS);
+        return Math.max(1, Math.min(spread, leftMillis / 3));
+    }
+
+    long now() {
+        return System.nanoTime();
+    }
+
+    boolean isReady() {
+        return mConfig.config().isPresent() && !isStopping();
+    }
+
+    boolean isStopping() {
+        return mStop.hasBegun();
+    }
+
+    boolean storeAnswers() {
+        return mConfig.isConnected();
+    }
+
+    int instances() {
+        return mMembers.count();
+    }
+
+    Optional<ServingConfig> config() {
+        return mConfig.config();
+    }
+
+    long configVersion() {
+        return mConfig.config().map(ServingConfig::version).orElse(0L);
+    }
+
+    RequestLimits limits() {
+        return mConfig.config().map(ServingConfig::limits).orElse(RequestLimits.DEFAULT);
+    }
+
+    Map<ModelId, Integer> namedVersions() {
+        return mConfig.versions();
+    }
+
+    int wantedVersion(ModelId model) {
+        return mConfig.versions().getOrDefault(model, 0);
+    }
+
+    List<Upstream> engines() {
+        return mUpstreams.engines();
+    }
+
+    Collection<UpstreamLoad> loads(ServiceId service) {
+        return mUpstreams.loads(service);
+    }
+
+    SharedRetryBudget budget(ServiceId service) {
+        return mBudgets.computeIfAbsent(
+                service,
+                k ->
+                        SharedRetryBudget.of(
+                                mSettings.retryRatio(),
+                                mSettings.retryExtra(),
+                                mSettings.retryWindow().toNanos()));
+    }
+
+    UpstreamChooser chooser() {
+        return mChooser;
+    }
+
+    UpstreamPool pool() {
+        return mPool;
+    }
+
+    Dialect dialect() {
+        return mDialect;
+    }
+
+    RowReader rows() {
+        return mRows;
+    }
+
+    Members members() {
+        return mMembers;
+    }
+
+    RolloutTask rollout() {
+        return mRollout;
+    }
+
+    EventLoop loop() {
+        return mLoop;
+    }
+
+    EventLog log() {
+        return mLog;
+    }
+
+    GatewayMetrics metrics() {
+        return mMetrics;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/GatewayEvent.java
@@ -0,0 +1,55 @@
+package org.catkinproxy.gateway;
+
+import java.util.Locale;
+
+/**
+ * Every event that the gateway logs, with its number.
+ *
+ * <p>Numbers are never used again for another event. docs/EVENTS.md is the catalogue. Immutable.
+ */
+public enum GatewayEvent {
+    STARTED(1101),
+    STOPPING(1102),
+    STOPPED(1103),
+    SETTINGS_RELOADED(1104),
+    LOG_LINES_DROPPED(1105),
+    TASK_FAILED(1106),
+    REQUEST_REFUSED(1201),
+    REQUEST_PLACED(1202),
+    REQUEST_SEND_FAILED(1203),
+    REQUEST_ENDED(1204),
+    REQUEST_RESUMED(1205),
+    CALLER_GONE(1206),
+    CONFIG_IN_FORCE(1401),
+    CONFIG_UNREADABLE(1402),
+    VERSION_NAMED(1403),
+    UPSTREAM_LISTED(1501),
+    UPSTREAM_GONE(1502),
+    UPSTREAM_UNREADABLE(1503),
+    UPSTREAM_SUSPECT(1504),
+    MEMBERS_CHANGED(1505),
+    LEASE_HELD(1601),
+    LEASE_LOST(1602),
+    ORDER_SENT(1603),
+    ORDER_ANSWERED(1604),
+    ORDER_FAILED(1605),
+    STORE_LOST(1701),
+    STORE_REGAINED(1702),
+    STORE_WRITE_FAILED(1703);
+
+    private final int mNumber;
+
+    GatewayEvent(int number) {
+        mNumber = number;
+    }
+
+    /** Returns the event's number. */
+    public int number() {
+        return mNumber;
+    }
+
+    /** Returns the spelling used in the log. */
+    public String wire() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/HttpCaller.java
@@ -0,0 +1,255 @@
+package org.catkinproxy.gateway;
+
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.error.Outcome;
+import org.catkinproxy.error.Step;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleEmitter;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Makes short HTTP calls to the store and to engines, each on a connection of its own meanwhile.
+ *
+ * <p>Connections are used again after a whole answer and closed after any failure, so that one that
+ * has gone silent costs one timeout. Used by the event loop only.
+ */
+public final class HttpCaller {
+    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+    private static final int CONNECT_TIMEOUT_MILLIS = 700;
+
+    /** Idle connections kept to one address. */
+    private static final int MAX_IDLE = 4;
+
+    private final EventLoop mLoop;
+    private final Map<String, Deque<Channel>> mIdle = new HashMap<>();
+
+    /**
+     * A whole answer.
+     *
+     * @param status its status
+     * @param body its body
+     */
+    public record Answer(int status, byte[] body) {}
+
+    private HttpCaller(EventLoop loop) {
+        mLoop = loop;
+    }
+
+    /** Returns a caller whose connections belong to {@code loop}. */
+    public static HttpCaller of(EventLoop loop) {
+        return new HttpCaller(loop);
+    }
+
+    /**
+     * Makes one call.
+     *
+     * @param address the peer as {@code host:port}
+     * @param headers headers beside the usual ones
+     * @return the answer, or an error whose outcome says whether the call may have been done
+     */
+    public Single<Answer> call(
+            Step step,
+            String address,
+            HttpMethod method,
+            String path,
+            Map<String, String> headers,
+            Optional<byte[]> body,
+            Duration timeout) {
+        return Single.create(
+                emitter -> {
+                    Call call = new Call(step, address, timeout, emitter);
+                    DefaultFullHttpRequest request =
+                            new DefaultFullHttpRequest(
+                                    HttpVersion.HTTP_1_1,
+                                    method,
+                                    path,
+                                    Unpooled.wrappedBuffer(body.orElse(new byte[0])));
+                    request.headers().set(HttpHeaderNames.HOST, address);
+                    headers.forEach((k, v) -> request.headers().set(k, v));
+                    body.ifPresent(
+                            b -> {
+                                request.headers()
+                                        .set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+                                HttpUtil.setContentLength(request, b.length);
+                            });
+                    call.start(request);
+                });
+    }
+
+    private final class Call {
+        private final Step mStep;
+        private final String mAddress;
+        private final Duration mTimeout;
+        private final SingleEmitter<Answer> mEmitter;
+        private Channel mChannel;
+        private ScheduledFuture<?> mTimer;
+        private boolean mSent;
+        private boolean mDone;
+
+        Call(Step step, String address, Duration timeout, SingleEmitter<Answer> emitter) {
+            mStep = step;
+            mAddress = address;
+            mTimeout = timeout;
+            mEmitter = emitter;
+        }
+
+        void start(DefaultFullHttpRequest request) {
+            mTimer =
+                    mLoop.schedule(
+                            () -> fail("timeout"), mTimeout.toMillis(), TimeUnit.MILLISECONDS);
+            Channel idle = pollIdle();
+            if (idle != null) {
+                send(idle, request);
+                return;
+            }
+            connect(request);
+        }
+
+        private Channel pollIdle() {
+            Deque<Channel> idle = mIdle.getOrDefault(mAddress, new ArrayDeque<>());
+            Channel channel = idle.pollLast();
+            while (channel != null && !channel.isActive()) {
+                channel = idle.pollLast();
+            }
+            return channel;
+        }
+
+        private void connect(DefaultFullHttpRequest request) {
+            int colon = mAddress.lastIndexOf(':');
+            new Bootstrap()
+                    .group(mLoop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                    .handler(new Initializer())
+                    .connect(
+                            mAddress.substring(0, colon),
+                            Integer.parseInt(mAddress.substring(colon + 1)))
+                    .addListener(
+                            (io.netty.channel.ChannelFutureListener)
+                                    f -> {
+                                        if (!f.isSuccess()) {
+                                            request.release();
+                                            fail(String.valueOf(f.cause().getMessage()));
+                                        } else if (mDone) {
+                                            request.release();
+                                            f.channel().close();
+                                        } else {
+                                            send(f.channel(), request);
+                                        }
+                                    });
+        }
+
+        private void send(Channel channel, DefaultFullHttpRequest request) {
+            mChannel = channel;
+            mSent = true;
+            channel.pipeline().get(AnswerHandler.class).mCall = this;
+            channel.writeAndFlush(request);
+        }
+
+        void answered(FullHttpResponse response) {
+            if (mDone) {
+                return;
+            }
+            mDone = true;
+            mTimer.cancel(false);
+            boolean keep = HttpUtil.isKeepAlive(response) && response.decoderResult().isSuccess();
+            Answer answer =
+                    new Answer(response.status().code(), ByteBufUtil.getBytes(response.content()));
+            giveBack(keep);
+            mEmitter.onSuccess(answer);
+        }
+
+        private void giveBack(boolean keep) {
+            Deque<Channel> idle = mIdle.computeIfAbsent(mAddress, k -> new ArrayDeque<>());
+            mChannel.pipeline().get(AnswerHandler.class).mCall = null;
+            if (keep && idle.size() < MAX_IDLE) {
+                idle.addLast(mChannel);
+            } else {
+                mChannel.close();
+            }
+        }
+
+        void fail(String reason) {
+            if (mDone) {
+                return;
+            }
+            mDone = true;
+            mTimer.cancel(false);
+            if (mChannel != null) {
+                mChannel.close();
+            }
+            Outcome outcome = mSent ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+            mEmitter.tryOnError(
+                    CatkinException.of(
+                            ErrorCode.STORE_UNAVAILABLE, mStep, mAddress, outcome, reason, null));
+        }
+    }
+
+    private static final class Initializer extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            channel.pipeline()
+                    .addLast(new HttpClientCodec())
+                    .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
+                    .addLast(new AnswerHandler());
+        }
+    }
+
+    /** Passes answers to the call that uses the connection. */
+    private static final class AnswerHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private Call mCall;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            if (mCall == null) {
+                context.close();
+                return;
+            }
+            mCall.answered(response);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (mCall != null) {
+                mCall.fail("connection closed");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (mCall != null) {
+                mCall.fail(String.valueOf(cause.getMessage()));
+            }
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
@@ -0,0 +1,211 @@
+package org.catkinproxy.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.id.FencingNumber;
+import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.id.ModelId;
+import org.catkinproxy.order.LeaseAction;
+import org.catkinproxy.order.LeaseEvent;
+import org.catkinproxy.order.LeaseMachine;
+import org.catkinproxy.order.LeaseRow;
+import org.catkinproxy.order.StoredLease;
+import org.catkinproxy.serving.Upstream;
+import org.catkinproxy.serving.VersionRollout;
+
+import io.netty.channel.EventLoop;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Brings all engines to the newest weights while this instance holds the lease for it.
+ *
+ * <p>The lease is only asked for while an engine lacks weights, and is left to lapse after that.
+ * Used by the event loop only.
+ */
+final class RolloutTask {
+    private static final String TABLE = "leases";
+    private static final String KEY = "weights";
+    private static final long TICK_MILLIS = 50;
+
+    /** Engines that change at a time: a third of them, at least two. */
+    private static final int LEAST_CONCURRENT = 2;
+
+    private final Gateway mGateway;
+    private final EventLoop mLoop;
+    private final TableStore mStore;
+    private final EngineControl mControl;
+    private final InstanceId mSelf;
+    private final LeaseMachine mLease;
+    private final ObjectMapper mJson = new ObjectMapper();
+    private final VersionRollout mRollout = VersionRollout.of(LEAST_CONCURRENT);
+    private boolean mRunning;
+    private Optional<FencingNumber> mHeld = Optional.empty();
+
+    RolloutTask(
+            Gateway gateway,
+            TableStore store,
+            EngineControl control,
+            InstanceId self,
+            String session,
+            Duration ttl) {
+        mGateway = gateway;
+        mLoop = gateway.loop();
+        mStore = store;
+        mControl = control;
+        mSelf = self;
+        mLease = LeaseMachine.of(self, session, ttl);
+    }
+
+    /** Looks whether an engine lacks weights. */
+    void wake() {
+        if (!mRunning) {
+            mRunning = true;
+            mLoop.execute(this::tick);
+        }
+    }
+
+    private void tick() {
+        Map<ModelId, Integer> wanted = mGateway.namedVersions();
+        List<Upstream> engines = mGateway.engines();
+        boolean needed = engines.stream().anyMatch(e -> mRollout.isBehind(e, wanted));
+        if (!needed || mGateway.isStopping()) {
+            mRunning = false;
+            return;
+        }
+        long now = mGateway.now();
+        mLease.handle(new LeaseEvent.Tick(), now).ifPresent(this::act);
+        noteHolding(mLease.held(now));
+        if (mHeld.isPresent()) {
+            mRollout.plan(wanted, engines, now).forEach(this::carryOut);
+        }
+        mLoop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void noteHolding(Optional<FencingNumber> held) {
+        if (held.equals(mHeld)) {
+            return;
+        }
+        mGateway.log()
+                .record(
+                        held.isPresent() ? GatewayEvent.LEASE_HELD : GatewayEvent.LEASE_LOST,
+                        "lease",
+                        KEY,
+                        "fence",
+                        held.or(() -> mHeld).orElseThrow());
+        mHeld = held;
+    }
+
+    private void carryOut(VersionRollout.Step step) {
+        if (step instanceof VersionRollout.Step.Order order) {
+            order(order);
+            return;
+        }
+        mControl.report(step.engine())
+                .subscribe(
+                        r -> mRollout.reported(step.engine(), r, mGateway.now()),
+                        e -> failed(step, e));
+    }
+
+    private void order(VersionRollout.Step.Order order) {
+        mGateway.log()
+                .record(
+                        GatewayEvent.ORDER_SENT,
+                        "upstream",
+                        order.engine().id(),
+                        "model",
+                        order.model(),
+                        "version",
+                        order.version(),
+                        "fence",
+                        mHeld.orElseThrow());
+        mControl.order(order, mSelf, mHeld.get())
+                .subscribe(a -> answered(order, a), e -> failed(order, e));
+    }
+
+    private void answered(VersionRollout.Step.Order order, EngineControl.OrderAnswer answer) {
+        mGateway.log()
+                .record(
+                        GatewayEvent.ORDER_ANSWERED,
+                        "upstream",
+                        order.engine().id(),
+                        "version",
+                        order.version(),
+                        "answer",
+                        answer);
+        mRollout.ordered(order.engine(), mGateway.now());
+    }
+
+    private void failed(VersionRollout.Step step, Throwable reason) {
+        mGateway.log()
+                .record(
+                        GatewayEvent.ORDER_FAILED,
+                        "upstream",
+                        step.engine().id(),
+                        "reason",
+                        reason);
+        mRollout.failed(step.engine(), mGateway.now());
+    }
+
+    private void act(LeaseAction action) {
+        if (action instanceof LeaseAction.WriteRow write) {
+            mStore.writeIf(TABLE, KEY, write.expected(), encode(write.row()))
+                    .subscribe(v -> tell(new LeaseEvent.Written(v)), this::writeFailed);
+            return;
+        }
+        mStore.readRow(TABLE, KEY)
+                .subscribe(
+                        r -> tell(new LeaseEvent.RowRead(stored(r))),
+                        e -> tell(new LeaseEvent.StoreFailed()));
+    }
+
+    private void writeFailed(Throwable failure) {
+        boolean conflict =
+                failure instanceof CatkinException e && e.code() == ErrorCode.STORE_CONFLICT;
+        mGateway.log().record(GatewayEvent.STORE_WRITE_FAILED, "row", KEY, "reason", failure);
+        tell(conflict ? new LeaseEvent.WriteConflict() : new LeaseEvent.StoreFailed());
+    }
+
+    private void tell(LeaseEvent event) {
+        mLease.handle(event, mGateway.now()).ifPresent(this::act);
+    }
+
+    private Optional<StoredLease> stored(TableStore.Rows rows) {
+        return rows.rows().stream()
+                .filter(r -> r.content().isPresent())
+                .findFirst()
+                .map(r -> new StoredLease(r.version(), decode(r.content().get())));
+    }
+
+    private byte[] encode(LeaseRow row) {
+        return mJson.createObjectNode()
+                .put("holder", row.holder().value())
+                .put("session", row.session())
+                .put("number", row.number().value())
+                .put("beat", row.beat())
+                .toString()
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private LeaseRow decode(byte[] content) {
+        try {
+            JsonNode row = mJson.readTree(content);
+            return new LeaseRow(
+                    InstanceId.of(row.path("holder").asText()),
+                    row.path("session").asText(),
+                    FencingNumber.of(row.path("number").asLong()),
+                    row.path("beat").asLong());
+        } catch (IOException e) {
+            throw new IllegalStateException("the lease's row can not be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/SmallServer.java
@@ -0,0 +1,90 @@
+package org.catkinproxy.gateway;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+import java.net.InetSocketAddress;
+import java.util.function.Function;
+
+/**
+ * Serves short questions without a body: readiness, addresses, metrics.
+ *
+ * <p>Used by the event loop only.
+ */
+final class SmallServer {
+    private static final int MAX_REQUEST_BYTES = 64 * 1024;
+
+    private SmallServer() {}
+
+    /**
+     * What is answered.
+     *
+     * @param status the status
+     * @param contentType the body's type
+     * @param body the body
+     */
+    record Reply(int status, String contentType, byte[] body) {}
+
+    /** Listens at {@code address}; {@code replies} gets the request's target. */
+    static ChannelFuture listen(
+            EventLoop loop, InetSocketAddress address, Function<String, Reply> replies) {
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                channel.pipeline()
+                                        .addLast(new HttpServerCodec())
+                                        .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
+                                        .addLast(new Handler(replies));
+                            }
+                        })
+                .bind(address);
+    }
+
+    private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Function<String, Reply> mReplies;
+
+        Handler(Function<String, Reply> replies) {
+            mReplies = replies;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            Reply reply = mReplies.apply(request.uri());
+            DefaultFullHttpResponse response =
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.valueOf(reply.status()),
+                            Unpooled.wrappedBuffer(reply.body()));
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType());
+            HttpUtil.setContentLength(response, reply.body().length);
+            boolean keep = HttpUtil.isKeepAlive(request);
+            context.writeAndFlush(response)
+                    .addListener(keep ? f -> {} : ChannelFutureListener.CLOSE);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamPool.java
@@ -0,0 +1,166 @@
+package org.catkinproxy.gateway;
+
+import org.catkinproxy.serving.Upstream;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The connections to one upstream after another, kept for a while after use.
+ *
+ * <p>Used by the event loop only.
+ */
+final class UpstreamPool {
+    private static final int CONNECT_TIMEOUT_MILLIS = 400;
+    private static final int MAX_HEAD_BYTES = 64 * 1024;
+    private static final int MAX_LINE_BYTES = 8 * 1024;
+    private static final int MAX_CHUNK_BYTES = 64 * 1024;
+
+    /** Idle connections are given up this long before the upstream closes them. */
+    private static final long IDLE_MARGIN_NANOS = 700_000_000L;
+
+    /** Idle connections are kept at most this long. */
+    private static final long LONGEST_IDLE_NANOS = 8_000_000_000L;
+
+    private final EventLoop mLoop;
+    private final Dialect mDialect;
+    private final Map<String, Deque<Idle>> mIdle = new HashMap<>();
+    private final Map<UpstreamConnection, String> mAddresses = new HashMap<>();
+    private final Map<String, Integer> mOpen = new HashMap<>();
+
+    /** A connection that waits for the next request. */
+    private record Idle(UpstreamConnection connection, long until) {}
+
+    /** Takes the outcome of a request for a connection. */
+    interface Taker {
+        void onConnection(UpstreamConnection connection);
+
+        void onNoConnection(String reason);
+    }
+
+    UpstreamPool(EventLoop loop, Dialect dialect) {
+        mLoop = loop;
+        mDialect = dialect;
+    }
+
+    /** Returns how many connections are open to the upstream. */
+    int open(Upstream upstream) {
+        return mOpen.getOrDefault(address(upstream), 0);
+    }
+
+    /** Gets a connection, an idle one if there is one. */
+    void take(Upstream upstream, Taker taker) {
+        String address = address(upstream);
+        Deque<Idle> idle = mIdle.get(address);
+        while (idle != null && !idle.isEmpty()) {
+            Idle last = idle.pollLast();
+            if (last.connection().isUsable() && last.until() - System.nanoTime() > 0) {
+                taker.onConnection(last.connection());
+                return;
+            }
+            last.connection().channel().close();
+        }
+        connect(upstream, address, taker);
+    }
+
+    private void connect(Upstream upstream, String address, Taker taker) {
+        UpstreamConnection connection = new UpstreamConnection(mDialect, this);
+        mAddresses.put(connection, address);
+        mOpen.merge(address, 1, Integer::sum);
+        new Bootstrap()
+                .group(mLoop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new Initializer(connection))
+                .connect(upstream.host(), upstream.port())
+                .addListener((ChannelFuture f) -> onConnected(f, connection, taker));
+    }
+
+    private void onConnected(ChannelFuture future, UpstreamConnection connection, Taker taker) {
+        if (future.isSuccess()) {
+            taker.onConnection(connection);
+        } else {
+            closed(connection);
+            taker.onNoConnection(String.valueOf(future.cause().getMessage()));
+        }
+    }
+
+    /** Takes a connection back after a whole answer. */
+    void giveBack(UpstreamConnection connection) {
+        String address = mAddresses.get(connection);
+        if (!connection.isUsable() || address == null) {
+            connection.channel().close();
+            return;
+        }
+        long kept = connection.idleSeconds() * 1_000_000_000L - IDLE_MARGIN_NANOS;
+        long until = System.nanoTime() + Math.min(LONGEST_IDLE_NANOS, kept);
+        mIdle.computeIfAbsent(address, k -> new ArrayDeque<>())
+                .addLast(new Idle(connection, until));
+    }
+
+    /** Notes that a connection is closed. */
+    void closed(UpstreamConnection connection) {
+        String address = mAddresses.remove(connection);
+        if (address == null) {
+            return;
+        }
+        mOpen.computeIfPresent(address, (k, n) -> n > 1 ? n - 1 : null);
+        Deque<Idle> idle = mIdle.get(address);
+        if (idle != null) {
+            idle.removeIf(i -> i.connection() == connection);
+            if (idle.isEmpty()) {
+                mIdle.remove(address);
+            }
+        }
+    }
+
+    /** Closes the idle connections to an upstream that is gone or does not answer. */
+    void forget(Upstream upstream) {
+        Deque<Idle> idle = mIdle.remove(address(upstream));
+        if (idle != null) {
+            idle.forEach(i -> i.connection().channel().close());
+        }
+    }
+
+    /** Closes idle connections whose time is over. */
+    void expire() {
+        long now = System.nanoTime();
+        for (Deque<Idle> idle : mIdle.values()) {
+            while (!idle.isEmpty() && idle.peekFirst().until() - now <= 0) {
+                idle.pollFirst().connection().channel().close();
+            }
+        }
+        mIdle.values().removeIf(Deque::isEmpty);
+    }
+
+    private static String address(Upstream upstream) {
+        return upstream.host() + ":" + upstream.port();
+    }
+
+    private static final class Initializer extends ChannelInitializer<Channel> {
+        private final UpstreamConnection mConnection;
+
+        Initializer(UpstreamConnection connection) {
+            mConnection = connection;
+        }
+
+        @Override
+        protected void initChannel(Channel channel) {
+            channel.pipeline()
+                    .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(mConnection);
+        }
+    }
+}
