--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/serving/NamedVersions.java
@@ -0,0 +1,64 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import org.catkinproxy.id.ModelId;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+/**
+ * The versions of weights that operators named, and since when each engine should have them.
+ *
+ * <p>An engine with old weights may answer for a while after a newer version was named; what it
+ * answers later is of no use. Times are nanoseconds of the owner's monotonic clock. Not safe for
+ * use by several threads.
+ */
+public final class NamedVersions {
+    /** Part of the allowed time after which engines with old weights get no more requests. */
+    private static final double USABLE_SHARE = 0.7;
+
+    private final long mAllowedNanos;
+    private final Map<ModelId, NavigableMap<Integer, Long>> mNamedAt = new HashMap<>();
+
+    private NamedVersions(long allowedNanos) {
+        checkArgument(allowedNanos > 0, "allowedNanos: %s", allowedNanos);
+        mAllowedNanos = allowedNanos;
+    }
+
+    /** Returns versions of which none is named; old weights may answer for {@code allowedNanos}. */
+    public static NamedVersions of(long allowedNanos) {
+        return new NamedVersions(allowedNanos);
+    }
+
+    /** Notes that a version was named; returns whether it is newer than all before. */
+    public boolean named(ModelId model, int version, long now) {
+        NavigableMap<Integer, Long> versions =
+                mNamedAt.computeIfAbsent(model, k -> new TreeMap<>());
+        boolean newer = versions.isEmpty() || versions.lastKey() < version;
+        versions.putIfAbsent(version, now);
+        return newer;
+    }
+
+    /** Returns the newest version of a model's weights, 0 if none was named. */
+    public int newest(ModelId model) {
+        NavigableMap<Integer, Long> versions = mNamedAt.get(model);
+        return versions == null ? 0 : versions.lastKey();
+    }
+
+    /** Returns the newest version of each model. */
+    public Map<ModelId, Integer> newest() {
+        Map<ModelId, Integer> newest = new HashMap<>();
+        mNamedAt.forEach((model, versions) -> newest.put(model, versions.lastKey()));
+        return newest;
+    }
+
+    /** Tells whether answers made on {@code version} are still of use at {@code now}. */
+    public boolean isUsable(ModelId model, int version, long now) {
+        NavigableMap<Integer, Long> versions = mNamedAt.get(model);
+        Map.Entry<Integer, Long> next = versions == null ? null : versions.higherEntry(version);
+        return next == null || now - next.getValue() < mAllowedNanos * USABLE_SHARE;
+    }
+}
--- a/core/src/main/java/org/catkinproxy/serving/RetryRule.java
+++ b/core/src/main/java/org/catkinproxy/serving/RetryRule.java
@@ -14,6 +14,15 @@
 
     private RetryRule() {}
 
+    /**
+     * Tells whether a run that broke may go on from the copy of its memory at another engine. That
+     * is the same run, so that it needs no attempt; an engine without the copy rejects it.
+     */
+    public static boolean mayContinueCopy(Route route, SendFailure failure, long leftNanos) {
+        boolean broke = failure == SendFailure.BROKEN || failure == SendFailure.SILENT;
+        return broke && route.kind() == CallKind.STREAM && leftNanos >= leastNanos(route);
+    }
+
     /**
      * Tells whether another send is allowed, budget apart.
      *
--- a/core/src/main/java/org/catkinproxy/serving/SharedRetryBudget.java
+++ b/core/src/main/java/org/catkinproxy/serving/SharedRetryBudget.java
@@ -14,8 +14,11 @@
 public final class SharedRetryBudget {
     private static final int BUCKETS = 20;
 
-    /** Instances count the members with a lag, and windows are not aligned. */
-    private static final double SAFETY = 0.8;
+    /** Windows of instances are not aligned. */
+    private static final double RATIO_SAFETY = 0.8;
+
+    /** Instances count the members with a lag, and one that restarts has forgotten its window. */
+    private static final double EXTRA_SAFETY = 0.45;
 
     private final double mRatio;
     private final double mExtra;
@@ -50,7 +53,8 @@
      */
     public boolean tryRetry(long now, int instances) {
         advance(now);
-        double allowed = SAFETY * (mRatio * sum(mRequests) + mExtra / Math.max(1, instances));
+        double own = RATIO_SAFETY * mRatio * sum(mRequests);
+        double allowed = own + EXTRA_SAFETY * mExtra / Math.max(1, instances);
         if (sum(mRetries) + 1 > allowed) {
             return false;
         }
--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 /**
  * Chooses the upstream that is expected to answer a request first.
@@ -39,6 +40,9 @@
     /** Copies between data centres take longer than within one. */
     private static final double FETCH_SHARE_ACROSS = 1.7;
 
+    /** An engine that is about to change its weights is used only if no other is. */
+    private static final double CHANGING_NANOS = 2e9;
+
     private static final double ERROR_WEIGHT = 6;
 
     /** Costs that differ by less are taken as equal, so that ties spread. */
@@ -51,25 +55,37 @@
      *
      * @param load the upstream
      * @param source an engine from which it is to copy what it lacks, empty if there is none
+     * @param backup an engine with the same weights that can keep a copy of the run's memory
      * @param uncachedTokens the prompt tokens that it has to compute, 0 for a plain service
      * @param expectedNanos the time that an ordinary upstream would need, without its queue
      */
     public record Choice(
             UpstreamLoad load,
             Optional<Upstream> source,
+            Optional<Upstream> backup,
             long uncachedTokens,
-            double expectedNanos) {}
+            double expectedNanos) {
+        /** Returns a choice for which nothing is to be computed or copied. */
+        public static Choice of(UpstreamLoad load) {
+            return new Choice(load, Optional.empty(), Optional.empty(), 0, 0);
+        }
+    }
 
     /**
      * A prompt to be placed.
      *
      * @param prompt the prompt
      * @param scope what sets its cached parts apart from others of the same version
-     * @param wantedVersion the newest weights version of its model
+     * @param versions the versions of weights that were named
      * @param fetchNanosPerToken how long an engine takes to copy a token from another one
      */
     public record PlacedPrompt(
-            Prompt prompt, String scope, int wantedVersion, double fetchNanosPerToken) {
+            Prompt prompt, String scope, NamedVersions versions, double fetchNanosPerToken) {
+        /** Returns the newest version of its model's weights. */
+        public int newestVersion() {
+            return versions.newest(prompt.model());
+        }
+
         /** Returns the scope of what an engine with weights {@code version} has cached. */
         public String scope(int version) {
             return scope + "." + version;
@@ -98,7 +114,7 @@
                 best = load;
             }
         }
-        return Optional.ofNullable(best).map(l -> new Choice(l, Optional.empty(), 0, 0));
+        return Optional.ofNullable(best).map(Choice::of);
     }
 
     /** Returns the engine for a prompt, empty if none may have it. */
@@ -110,19 +126,63 @@
         List<Candidate> candidates =
                 usable(loads, excluded, now).stream()
                         .map(l -> new Candidate(l, placed, now))
+                        .filter(c -> isUsable(c, placed, now))
                         .toList();
-        Candidate home = home(candidates, placed.prompt());
+        Set<InstanceId> changing = changing(loads, placed);
+        Candidate home = home(candidates, changing, placed.prompt());
         Choice best = null;
         double least = Double.MAX_VALUE;
         for (Candidate candidate : candidates) {
             Choice choice = choice(candidate, candidates, home, placed);
             double cost = cost(choice, candidate, placed, now);
+            cost += changing.contains(candidate.id()) ? CHANGING_NANOS : 0;
             if (cost < least) {
                 least = cost;
                 best = choice;
             }
         }
-        return Optional.ofNullable(best);
+        return Optional.ofNullable(best).map(c -> withBackup(c, candidates, changing));
+    }
+
+    /** Adds the least busy other engine with the same weights. */
+    private static Choice withBackup(
+            Choice choice, List<Candidate> candidates, Set<InstanceId> changing) {
+        InstanceId chosen = choice.load().upstream().id();
+        int version =
+                candidates.stream()
+                        .filter(c -> c.id().equals(chosen))
+                        .findFirst()
+                        .orElseThrow()
+                        .mVersion;
+        Optional<Upstream> backup =
+                candidates.stream()
+                        .filter(c -> !c.id().equals(chosen) && c.mVersion == version)
+                        .filter(c -> !changing.contains(c.id()))
+                        .min(Comparator.comparingInt(c -> c.mLoad.inFlight()))
+                        .map(c -> c.mLoad.upstream());
+        return new Choice(
+                choice.load(),
+                choice.source(),
+                backup,
+                choice.uncachedTokens(),
+                choice.expectedNanos());
+    }
+
+    /**
+     * The engines that are about to change their weights, which reject what they have not begun.
+     */
+    private static Set<InstanceId> changing(Collection<UpstreamLoad> loads, PlacedPrompt placed) {
+        int newest = placed.newestVersion();
+        return loads.stream()
+                .filter(l -> l.version(placed.prompt()) < newest)
+                .map(l -> l.upstream().id())
+                .sorted()
+                .limit(VersionRollout.concurrent(loads.size()))
+                .collect(Collectors.toSet());
+    }
+
+    private static boolean isUsable(Candidate candidate, PlacedPrompt placed, long now) {
+        return placed.versions().isUsable(placed.prompt().model(), candidate.mVersion, now);
     }
 
     private static Choice choice(
@@ -139,14 +199,19 @@
                         + uncached * NANOS_PER_TOKEN
                         + fetched * placed.fetchNanosPerToken() * FETCH_SHARE_ACROSS
                         + candidate.mLoad.pendingTokens() * NANOS_PER_TOKEN;
-        return new Choice(candidate.mLoad, source.map(s -> s.mLoad.upstream()), uncached, expected);
+        return new Choice(
+                candidate.mLoad,
+                source.map(s -> s.mLoad.upstream()),
+                Optional.empty(),
+                uncached,
+                expected);
     }
 
     private static double cost(Choice choice, Candidate candidate, PlacedPrompt placed, long now) {
         UpstreamLoad load = candidate.mLoad;
         double cost = load.slowness() * (choice.expectedNanos() + load.inFlight() * NANOS_PER_RUN);
         cost *= 1 + ERROR_WEIGHT * load.errorShare(now);
-        return cost + (candidate.mVersion < placed.wantedVersion() ? OLD_WEIGHTS_NANOS : 0);
+        return cost + (candidate.mVersion < placed.newestVersion() ? OLD_WEIGHTS_NANOS : 0);
     }
 
     /** The engine with the same weights that has most of what {@code candidate} lacks. */
@@ -170,6 +235,10 @@
             long[] keys = placed.prompt().keys(placed.scope(mVersion));
             mCached = load.cached().tokens(placed.prompt(), keys, now);
         }
+
+        InstanceId id() {
+            return mLoad.upstream().id();
+        }
     }
 
     /** Those that are fit, or all that are not leaving if none is. */
@@ -191,13 +260,15 @@
     }
 
     /** The engine that is taken to have the shared parts while none is known to have them. */
-    private static Candidate home(List<Candidate> candidates, Prompt prompt) {
+    private static Candidate home(
+            List<Candidate> candidates, Set<InstanceId> changing, Prompt prompt) {
         boolean unknown = candidates.stream().allMatch(c -> c.mCached == 0);
         if (!unknown || prompt.parts().size() < 2) {
             return null;
         }
         long key = prompt.parts().get(0).id();
         return candidates.stream()
+                .filter(c -> !changing.contains(c.id()))
                 .max(Comparator.comparingLong(c -> rendezvous(key, c.mLoad)))
                 .orElse(null);
     }
--- a/core/src/main/java/org/catkinproxy/serving/UpstreamLoad.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamLoad.java
@@ -2,7 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkState;
 
-import java.util.OptionalInt;
+import org.catkinproxy.id.ModelId;
+
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * What one instance believes of one upstream: its load, speed, failures and cached prompts.
@@ -29,7 +32,7 @@
     private boolean mSuspected;
     private long mRejectsUntil;
     private boolean mRejects;
-    private OptionalInt mSeenVersion = OptionalInt.empty();
+    private final Map<ModelId, Integer> mSeenVersions = new HashMap<>();
     private final CachedPrompts mCached = new CachedPrompts();
 
     private UpstreamLoad(Upstream upstream) {
@@ -46,28 +49,25 @@
         return mUpstream;
     }
 
-    /** Takes another listing of the same start of the upstream. */
-    public void relist(Upstream upstream) {
-        if (!upstream.weights().equals(mUpstream.weights())) {
-            mCached.forget();
+    /** Takes another listing of the same start of the upstream; returns whether weights changed. */
+    public boolean relist(Upstream upstream) {
+        boolean changed = !upstream.weights().equals(mUpstream.weights());
+        if (changed) {
             mRejects = false;
-            mSeenVersion = OptionalInt.empty();
         }
         mUpstream = upstream;
+        return changed;
     }
 
-    /** Notes the weights version that an answer named. */
-    public void sawVersion(int version) {
-        if (mSeenVersion.isPresent() && mSeenVersion.getAsInt() != version) {
-            mCached.forget();
-        }
-        mSeenVersion = OptionalInt.of(version);
+    /** Notes the version of a model's weights that an answer named. */
+    public void sawVersion(ModelId model, int version) {
+        mSeenVersions.put(model, version);
     }
 
     /** Returns the highest version that the upstream is known to have of {@code prompt}'s model. */
     public int version(Prompt prompt) {
         int listed = mUpstream.weights().getOrDefault(prompt.model(), 0);
-        return Math.max(listed, mSeenVersion.orElse(0));
+        return Math.max(listed, mSeenVersions.getOrDefault(prompt.model(), 0));
     }
 
     /** Counts a request that is sent there. */
--- a/core/src/main/java/org/catkinproxy/serving/VersionRollout.java
+++ b/core/src/main/java/org/catkinproxy/serving/VersionRollout.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -86,7 +87,11 @@
     /** Returns the steps that are due. */
     public List<Step> plan(Map<ModelId, Integer> wanted, Collection<Upstream> engines, long now) {
         forgetOthers(engines);
-        List<Upstream> behind = engines.stream().filter(e -> isBehind(e, wanted)).toList();
+        List<Upstream> behind =
+                engines.stream()
+                        .filter(e -> isBehind(e, wanted))
+                        .sorted(Comparator.comparing(Upstream::id))
+                        .toList();
         finishOthers(behind);
         int free = concurrent(engines.size()) - changing(now);
         List<Step> steps = new ArrayList<>();
@@ -186,7 +191,11 @@
                 .forEach(p -> p.mChanging = false);
     }
 
-    private static int concurrent(int engines) {
+    /**
+     * Returns how many of {@code engines} engines change at a time: those that are behind, in the
+     * order of their ids. So every instance can tell which they are without asking the holder.
+     */
+    static int concurrent(int engines) {
         return Math.max(LEAST_CONCURRENT, (int) Math.ceil(engines * CONCURRENT_SHARE));
     }
 
--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/serving/RouteTableTest.java
@@ -0,0 +1,93 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+import org.catkinproxy.id.ServiceId;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+class RouteTableTest {
+    private static Route route(String host, String prefix) {
+        return new Route(
+                host + prefix,
+                host,
+                prefix,
+                CallKind.IDEMPOTENT,
+                false,
+                false,
+                0,
+                1,
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
+                Duration.ZERO,
+                List.of(new WeightedService(ServiceId.of("s"), 1)));
+    }
+
+    @Example
+    void findsTheLongestPrefixOfTheHost() {
+        RouteTable table =
+                RouteTable.of(
+                        List.of(route("a.x", "/"), route("a.x", "/b/"), route("c.x", "/b/d/")));
+
+        assertThat(table.find("A.x:80", "/b/d/1").map(Route::name)).hasValue("a.x/b/");
+        assertThat(table.find("a.x", "/bb").map(Route::name)).hasValue("a.x/");
+        assertThat(table.find("c.x", "/b/")).isEmpty();
+        assertThat(table.find("d.x", "/")).isEmpty();
+    }
+
+    @Property
+    void agreesWithSearchingAllRoutes(
+            @ForAll @Size(max = 8) List<@IntRange(max = 15) Integer> set,
+            @ForAll @IntRange(max = 15) int asked) {
+        List<Route> routes = set.stream().distinct().map(i -> route("h", prefix(i))).toList();
+        String path = prefix(asked) + "x";
+
+        Optional<Route> naive =
+                routes.stream()
+                        .filter(r -> path.startsWith(r.prefix()))
+                        .max(Comparator.comparingInt(r -> r.prefix().length()));
+
+        assertThat(RouteTable.of(routes).find("h", path)).isEqualTo(naive);
+    }
+
+    /** Paths of up to four steps that are each one of two letters. */
+    private static String prefix(int bits) {
+        String steps = Integer.toBinaryString(bits);
+        return Stream.of(steps.split("")).reduce("/", (path, step) -> path + step + "/");
+    }
+
+    @Example
+    void splitsByWeight() {
+        Route route =
+                new Route(
+                        "r",
+                        "h",
+                        "/",
+                        CallKind.IDEMPOTENT,
+                        false,
+                        false,
+                        0,
+                        1,
+                        Duration.ofSeconds(1),
+                        Duration.ofSeconds(1),
+                        Duration.ZERO,
+                        List.of(
+                                new WeightedService(ServiceId.of("nine"), 9),
+                                new WeightedService(ServiceId.of("one"), 1)));
+        int ones = 0;
+        for (int draw = -50; draw < 50; draw++) {
+            ones += route.service(draw).value().equals("one") ? 1 : 0;
+        }
+        assertThat(ones).isEqualTo(10);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/serving/UpstreamChooserTest.java
@@ -0,0 +1,147 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Example;
+
+import org.catkinproxy.id.InstanceId;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/** Placement under the load patterns that the chooser answers. */
+class UpstreamChooserTest {
+    private static final double FETCH_NANOS = 7_000;
+
+    private final UpstreamChooser mChooser = UpstreamChooser.of(new SplittableRandom(1));
+    private final NamedVersions mVersions = NamedVersions.of(10 * Samples.SECOND);
+
+    private UpstreamChooser.PlacedPrompt placed(Prompt prompt) {
+        return new UpstreamChooser.PlacedPrompt(prompt, "*", mVersions, FETCH_NANOS);
+    }
+
+    private static List<UpstreamLoad> engines(int count) {
+        List<UpstreamLoad> loads = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            loads.add(UpstreamLoad.of(Samples.engine("e" + i, 1)));
+        }
+        return loads;
+    }
+
+    private static void cache(UpstreamLoad load, Prompt prompt, int parts) {
+        for (int i = 0; i < parts; i++) {
+            PromptPart part = prompt.parts().get(i);
+            load.cached().told("*.1", part.id(), part.tokens());
+        }
+    }
+
+    private Optional<UpstreamChooser.Choice> choose(List<UpstreamLoad> loads, Prompt prompt) {
+        return mChooser.chooseEngine(loads, Set.of(), placed(prompt), 0);
+    }
+
+    @Example
+    void aPromptGoesWhereItIsCached() {
+        List<UpstreamLoad> loads = engines(5);
+        Prompt prompt = Samples.prompt(2_000, 4_000, 1_000);
+        cache(loads.get(3), prompt, 2);
+
+        UpstreamChooser.Choice choice = choose(loads, prompt).orElseThrow();
+        assertThat(choice.load()).isSameInstanceAs(loads.get(3));
+        assertThat(choice.uncachedTokens()).isEqualTo(1_000);
+    }
+
+    @Example
+    void aHotPromptIsCopiedOnceItsEngineIsBusy() {
+        List<UpstreamLoad> loads = engines(2);
+        Prompt prompt = Samples.prompt(6_000, 200);
+        cache(loads.get(0), prompt, 1);
+        loads.get(0).sent(30_000);
+
+        UpstreamChooser.Choice choice = choose(loads, prompt).orElseThrow();
+        assertThat(choice.load()).isSameInstanceAs(loads.get(1));
+        assertThat(choice.source()).hasValue(loads.get(0).upstream());
+        assertThat(choice.uncachedTokens()).isEqualTo(200);
+    }
+
+    @Example
+    void nothingIsCopiedFromAnEngineWithOtherWeights() {
+        List<UpstreamLoad> loads = engines(1);
+        UpstreamLoad other = UpstreamLoad.of(Samples.engine("old", 2));
+        Prompt prompt = Samples.prompt(6_000, 200);
+        cache(other, prompt, 1);
+        other.cached().told("*.2", prompt.parts().get(0).id(), 6_000);
+        other.sent(500_000);
+        loads.add(other);
+
+        UpstreamChooser.Choice choice = choose(loads, prompt).orElseThrow();
+        assertThat(choice.load()).isSameInstanceAs(loads.get(0));
+        assertThat(choice.source()).isEmpty();
+    }
+
+    @Example
+    void instancesThatKnowNothingSendEqualPromptsToTheSameEngine() {
+        Prompt prompt = Samples.prompt(2_000, 100);
+        InstanceId first = choose(engines(7), prompt).orElseThrow().load().upstream().id();
+        InstanceId second = choose(engines(7), prompt).orElseThrow().load().upstream().id();
+        assertThat(second).isEqualTo(first);
+    }
+
+    @Example
+    void anEngineGetsNothingOnceItsWeightsAreOld() {
+        List<UpstreamLoad> loads = engines(1);
+        mVersions.named(Samples.MODEL, 2, 0);
+        Prompt prompt = Samples.prompt(100, 100);
+
+        assertThat(choose(loads, prompt)).isPresent();
+        assertThat(mChooser.chooseEngine(loads, Set.of(), placed(prompt), 9 * Samples.SECOND))
+                .isEmpty();
+    }
+
+    @Example
+    void workSpreadsBySpeed() {
+        List<UpstreamLoad> loads =
+                List.of(
+                        UpstreamLoad.of(Samples.plain("fast")),
+                        UpstreamLoad.of(Samples.plain("slow")));
+        for (int i = 0; i < 30; i++) {
+            loads.get(1).measured(4);
+        }
+        Map<InstanceId, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 10; i++) {
+            UpstreamLoad load = mChooser.choosePlain(loads, Set.of(), 0).orElseThrow().load();
+            load.sent(0);
+            counts.merge(load.upstream().id(), 1, Integer::sum);
+        }
+        assertThat(counts.get(InstanceId.of("fast"))).isAtLeast(7);
+        assertThat(counts.get(InstanceId.of("slow"))).isAtLeast(1);
+    }
+
+    @Example
+    void anUpstreamThatFailsGetsLessAndOneThatIsSilentNothing() {
+        List<UpstreamLoad> loads =
+                List.of(
+                        UpstreamLoad.of(Samples.plain("sound")),
+                        UpstreamLoad.of(Samples.plain("failing")),
+                        UpstreamLoad.of(Samples.plain("silent")));
+        for (int i = 0; i < 20; i++) {
+            loads.get(1).answered(false, 0);
+        }
+        loads.get(2).unreachable(0);
+        for (int i = 0; i < 50; i++) {
+            UpstreamLoad load = mChooser.choosePlain(loads, Set.of(), 0).orElseThrow().load();
+            assertThat(load).isSameInstanceAs(loads.get(0));
+        }
+        assertThat(loads.get(2).isFit(Samples.SECOND)).isTrue();
+    }
+
+    @Example
+    void anUpstreamThatLeavesGetsNothingEvenIfItIsTheLast() {
+        UpstreamLoad leaving = UpstreamLoad.of(Samples.upstream("a", "1", true, Map.of()));
+        assertThat(mChooser.choosePlain(List.of(leaving), Set.of(), 0)).isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/serving/VersionRolloutTest.java
@@ -0,0 +1,108 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Example;
+
+import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.id.ModelId;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Rollouts against engines that are slow to say what they have. */
+class VersionRolloutTest {
+    private static final Map<ModelId, Integer> WANTED = Map.of(Samples.MODEL, 2);
+
+    private final VersionRollout mRollout = VersionRollout.create();
+
+    private static VersionRollout.EngineReport report(int version, boolean busy, long orders) {
+        return new VersionRollout.EngineReport(Map.of(Samples.MODEL, version), busy, orders);
+    }
+
+    @Example
+    void asksOrdersAndWatchesFewEnginesAtOnce() {
+        List<Upstream> engines = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            engines.add(Samples.engine("e" + i, 1));
+        }
+        List<VersionRollout.Step> asks = mRollout.plan(WANTED, engines, 0);
+        assertThat(asks).hasSize(3);
+        assertThat(mRollout.plan(WANTED, engines, 1)).isEmpty();
+
+        Upstream first = asks.get(0).engine();
+        mRollout.reported(first, report(1, false, 7), 10);
+        List<VersionRollout.Step> orders = mRollout.plan(WANTED, engines, 10);
+        assertThat(orders)
+                .containsExactly(new VersionRollout.Step.Order(first, Samples.MODEL, 2, 7));
+
+        mRollout.reported(first, report(2, false, 8), 20);
+        List<VersionRollout.Step> next = mRollout.plan(WANTED, engines, 20);
+        assertThat(next).hasSize(1);
+        assertThat(next.get(0).engine()).isNotEqualTo(first);
+    }
+
+    @Example
+    void anEngineThatHasTheWeightsIsNotAskedAgainWhileTheListLags() {
+        List<Upstream> engines = List.of(Samples.engine("e", 1));
+        mRollout.plan(WANTED, engines, 0);
+        mRollout.reported(engines.get(0), report(2, false, 1), 10);
+
+        assertThat(mRollout.isBehind(engines.get(0), WANTED)).isFalse();
+        assertThat(mRollout.plan(WANTED, engines, 5 * Samples.SECOND)).isEmpty();
+    }
+
+    @Example
+    void aRestartUnderTheSameIdIsAskedAnew() {
+        Upstream before = Samples.engine("e", 1);
+        mRollout.plan(WANTED, List.of(before), 0);
+        mRollout.reported(before, report(2, false, 1), 10);
+        Upstream after = Samples.upstream("e", "2", false, Map.of(Samples.MODEL, 1));
+
+        assertThat(mRollout.plan(WANTED, List.of(after), 20))
+                .containsExactly(new VersionRollout.Step.Ask(after));
+    }
+
+    @Example
+    void anOrderWhoseAnswerIsLostIsSettledByAsking() {
+        Upstream engine = Samples.engine("e", 1);
+        List<Upstream> engines = List.of(engine);
+        mRollout.plan(WANTED, engines, 0);
+        mRollout.reported(engine, report(1, false, 4), 10);
+        mRollout.plan(WANTED, engines, 10);
+        mRollout.failed(engine, 700 * Samples.MILLI);
+
+        assertThat(mRollout.plan(WANTED, engines, Samples.SECOND))
+                .containsExactly(new VersionRollout.Step.Ask(engine));
+    }
+
+    @Example
+    void everyEngineGetsTheWeightsThoughOneNeverAnswers() {
+        Map<InstanceId, Integer> has = new HashMap<>();
+        for (int i = 0; i < 9; i++) {
+            has.put(InstanceId.of("e" + i), 1);
+        }
+        InstanceId silent = InstanceId.of("e0");
+        for (long now = 0; now < 20 * Samples.SECOND; now += 50 * Samples.MILLI) {
+            List<Upstream> engines =
+                    has.entrySet().stream()
+                            .map(e -> Samples.engine(e.getKey().value(), e.getValue()))
+                            .toList();
+            for (VersionRollout.Step step : mRollout.plan(WANTED, engines, now)) {
+                InstanceId id = step.engine().id();
+                if (id.equals(silent)) {
+                    mRollout.failed(step.engine(), now);
+                } else if (step instanceof VersionRollout.Step.Order) {
+                    has.put(id, 2);
+                    mRollout.ordered(step.engine(), now);
+                } else {
+                    mRollout.reported(step.engine(), report(has.get(id), false, 0), now);
+                }
+            }
+        }
+        has.remove(silent);
+        assertThat(has.values()).containsExactly(2, 2, 2, 2, 2, 2, 2, 2);
+    }
+}
--- a/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
@@ -1,12 +1,11 @@
 package org.catkinproxy.gateway;
 
 import org.catkinproxy.error.CatkinException;
-import org.catkinproxy.id.ModelId;
+import org.catkinproxy.serving.NamedVersions;
 import org.catkinproxy.serving.ServingConfig;
 
-import java.util.HashMap;
+import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -16,12 +15,13 @@
  */
 final class ConfigFollower implements TableWatch.Listener {
     private final Gateway mGateway;
-    private final Map<ModelId, Integer> mVersions = new HashMap<>();
+    private final NamedVersions mVersions;
     private Optional<ServingConfig> mConfig = Optional.empty();
     private boolean mConnected;
 
-    ConfigFollower(Gateway gateway) {
+    ConfigFollower(Gateway gateway, Duration oldWeightsAllowed) {
         mGateway = gateway;
+        mVersions = NamedVersions.of(oldWeightsAllowed.toNanos());
     }
 
     Optional<ServingConfig> config() {
@@ -33,8 +33,8 @@
         return mConnected;
     }
 
-    /** Returns the newest named version of each model's weights. */
-    Map<ModelId, Integer> versions() {
+    /** Returns the versions of weights that were named. */
+    NamedVersions versions() {
         return mVersions;
     }
 
@@ -96,9 +96,7 @@
     }
 
     private void takeVersion(RowReader.NamedVersion named) {
-        Integer last = mVersions.put(named.model(), named.version());
-        if (last != null && last > named.version()) {
-            mVersions.put(named.model(), last);
+        if (!mVersions.named(named.model(), named.version(), mGateway.now())) {
             return;
         }
         mGateway.log()
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -50,7 +50,7 @@
     private static final long CHANGE_PAUSE_NANOS = 1_200_000_000L;
 
     /** A stream without an event for this long is taken up elsewhere, if it may be. */
-    private static final long SILENT_STREAM_NANOS = 1_400_000_000L;
+    private static final long SILENT_STREAM_NANOS = 1_100_000_000L;
 
     /** A plain request that may run again is sent elsewhere after this many goals. */
     private static final double SILENT_GOALS = 1.8;
@@ -82,6 +82,11 @@
     private int mRuns;
     private int mRejections;
     private boolean mRetryPaid;
+
+    /** Whether the run's memory is copied as it grows: where a broken stream can't begin again. */
+    private final boolean mBacksUp;
+
+    private boolean mContinuesCopy;
     private boolean mStreaming;
     private boolean mDone;
     private boolean mCallerGone;
@@ -111,6 +116,7 @@
         mService = route.service(head.id().value().hashCode());
         mBudget = gateway.budget(mService);
         mPlaced = head.prompt().map(this::placed);
+        mBacksUp = mPlaced.isPresent() && route.kind() == CallKind.STREAM && !route.mayRunAgain();
     }
 
     private long limitNanos() {
@@ -128,8 +134,7 @@
                         .orElse(SHARED_SCOPE);
         double fetch =
                 mGateway.engineLimits(mService).map(EngineLimits::fetchNanosPerToken).orElse(0.0);
-        int wanted = mGateway.wantedVersion(prompt.model());
-        return new UpstreamChooser.PlacedPrompt(prompt, scope, wanted, fetch);
+        return new UpstreamChooser.PlacedPrompt(prompt, scope, mGateway.versions(), fetch);
     }
 
     /** Begins. */
@@ -200,7 +205,22 @@
             finish("caller_gone");
             return;
         }
-        if (mayPlaceAgain(failure, now)) {
+        Optional<UpstreamChooser.Choice> copy = copyToContinue(send, failure, now);
+        if (copy.isPresent()) {
+            mContinuesCopy = true;
+            mEvents.restart();
+            mGateway.log()
+                    .record(
+                            GatewayEvent.REQUEST_RESUMED,
+                            "request",
+                            mHead.id(),
+                            "upstream",
+                            copy.get().load().upstream().id(),
+                            "after_event",
+                            mEvents.lastId().orElse(0));
+            mSend = new OpenSend(copy.get());
+            mSend.start(now);
+        } else if (mayPlaceAgain(failure, now)) {
             mExcluded.add(send.upstream().id());
             mEvents.restart();
             place();
@@ -214,6 +234,21 @@
         }
     }
 
+    /** Returns the engine that has a copy of a broken run's memory, if the run may go on there. */
+    private Optional<UpstreamChooser.Choice> copyToContinue(
+            OpenSend send, SendFailure failure, long now) {
+        boolean asked = !mContinuesCopy && mBacksUp && send.mSent;
+        if (!asked || !RetryRule.mayContinueCopy(mRoute, failure, mDeadline - now)) {
+            return Optional.empty();
+        }
+        return send.mChoice
+                .backup()
+                .flatMap(b -> mGateway.load(b))
+                .filter(l -> l.isFit(now) && l.version(mHead.prompt().get()) == send.mVersion)
+                .filter(l -> mBudget.tryRetry(now, mGateway.instances()))
+                .map(UpstreamChooser.Choice::of);
+    }
+
     /** Nothing reached an upstream that could not be connected, which so costs no budget. */
     private boolean mayPlaceAgain(SendFailure failure, long now) {
         boolean paid = mRetryPaid || failure == SendFailure.NOT_CONNECTED;
@@ -251,7 +286,7 @@
 
     private boolean changesWeights(UpstreamLoad load) {
         return mHead.prompt()
-                .filter(p -> load.version(p) < mGateway.wantedVersion(p.model()))
+                .filter(p -> load.version(p) < mGateway.versions().newest(p.model()))
                 .isPresent();
     }
 
@@ -437,7 +472,13 @@
 
         private Optional<Send.EngineSend> engineSend() {
             return mPlaced.map(
-                    p -> new Send.EngineSend(p.scope(mVersion), mVersion, mChoice.source()));
+                    p ->
+                            new Send.EngineSend(
+                                    p.scope(mVersion),
+                                    mVersion,
+                                    mChoice.source(),
+                                    mChoice.backup().filter(b -> mBacksUp),
+                                    mContinuesCopy));
         }
 
         private void noteCached(UpstreamChooser.PlacedPrompt placed) {
@@ -446,7 +487,10 @@
         }
 
         private OptionalLong resumeAfter() {
-            return mEvents.lastId().isPresent() ? mEvents.lastId() : mHead.lastEvent();
+            if (mEvents.lastId().isPresent()) {
+                return mEvents.lastId();
+            }
+            return mContinuesCopy ? OptionalLong.of(0) : mHead.lastEvent();
         }
 
         private OptionalInt urgency() {
@@ -469,7 +513,7 @@
             mHeardAt = mGateway.now();
             mResponse = response;
             mAnswerHead = head;
-            head.weightsVersion().ifPresent(v -> mChoice.load().sawVersion(v));
+            head.weightsVersion().ifPresent(this::sawVersion);
             if (!isEventStream()) {
                 mAnswer = Unpooled.compositeBuffer();
             } else if (!head.sealed() || head.encoded()) {
@@ -477,6 +521,10 @@
             }
         }
 
+        private void sawVersion(int version) {
+            mHead.prompt().ifPresent(p -> mChoice.load().sawVersion(p.model(), version));
+        }
+
         private boolean isEventStream() {
             return mRoute.kind() == CallKind.STREAM
                     && mResponse.status().equals(HttpResponseStatus.OK);
@@ -530,7 +578,9 @@
                     mHead.prompt().isPresent()
                             ? mChoice.expectedNanos()
                             : mRoute.goal().toNanos() / 4.0;
-            mChoice.load().measured(taken / expected);
+            if (expected > 0) {
+                mChoice.load().measured(taken / expected);
+            }
         }
 
         @Override
@@ -580,8 +630,8 @@
                 mChoice.load().unreachable(mGateway.now());
             } else if (mAnswerHead.weightsVersion().isEmpty()) {
                 mHead.prompt()
-                        .map(p -> mGateway.wantedVersion(p.model()))
-                        .ifPresent(mChoice.load()::sawVersion);
+                        .map(p -> mGateway.versions().newest(p.model()))
+                        .ifPresent(this::sawVersion);
             }
         }
 
@@ -629,7 +679,9 @@
 
         /** When the upstream has been silent for too long, the deadline if it can not be. */
         long silentAt() {
-            if (!mSent || !mRoute.mayRunAgain() || mRuns + 1 >= mRoute.attempts()) {
+            boolean copied = mBacksUp && mStreaming && !mContinuesCopy;
+            boolean mayMove = mRoute.mayRunAgain() && mRuns + 1 < mRoute.attempts();
+            if (!mSent || !(copied || mayMove)) {
                 return mDeadline;
             }
             if (mRoute.kind() == CallKind.STREAM) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -1,9 +1,9 @@
 package org.catkinproxy.gateway;
 
 import org.catkinproxy.error.CatkinException;
-import org.catkinproxy.id.ModelId;
 import org.catkinproxy.id.ServiceId;
 import org.catkinproxy.serving.EngineLimits;
+import org.catkinproxy.serving.NamedVersions;
 import org.catkinproxy.serving.RequestLimits;
 import org.catkinproxy.serving.ServingConfig;
 import org.catkinproxy.serving.SharedRetryBudget;
@@ -59,7 +59,7 @@
     private final UpstreamChooser mChooser = UpstreamChooser.of(mRandom);
     private final UpstreamPool mPool;
     private final Upstreams mUpstreams = new Upstreams(this);
-    private final ConfigFollower mConfig = new ConfigFollower(this);
+    private final ConfigFollower mConfig;
     private final Members mMembers;
     private final RolloutTask mRollout;
     private final StopSequence mStop;
@@ -85,6 +85,7 @@
         mStore = store;
         mEngines = engines;
         mLog = log;
+        mConfig = new ConfigFollower(this, settings.oldWeightsAllowed());
         mPool = new UpstreamPool(loop, dialect);
         String address = text(settings.front());
         mMembers = new Members(this, store, settings.instance(), address);
@@ -110,10 +111,10 @@
 
     /** Opens the listeners and follows the store. */
     public void start() {
-        mFrontListener = listen().channel();
-        mSettings.probe().ifPresent(a -> SmallServer.listen(mLoop, a, this::answer));
-        mSettings.directory().ifPresent(a -> SmallServer.listen(mLoop, a, this::answer));
-        SmallServer.listen(mLoop, mSettings.metrics(), this::answer);
+        mFrontListener = logFailure(listen(), "front").channel();
+        mSettings.probe().ifPresent(a -> serveSmall(a, "probe"));
+        mSettings.directory().ifPresent(a -> serveSmall(a, "directory"));
+        serveSmall(mSettings.metrics(), "metrics");
         TableWatch.start(mLoop, mStore, mRows.operatorTable(), mConfig);
         TableWatch.start(mLoop, mStore, mRows.upstreamTable(), mUpstreams);
         mMembers.start();
@@ -127,6 +128,21 @@
         mLog.flush();
     }
 
+    private void serveSmall(InetSocketAddress address, String name) {
+        logFailure(SmallServer.listen(mLoop, address, this::answer), name);
+    }
+
+    /** A process that can not listen is seen as not ready, or as not there, by the platform. */
+    private ChannelFuture logFailure(ChannelFuture bound, String name) {
+        return bound.addListener(
+                f -> {
+                    if (!f.isSuccess()) {
+                        mLog.record(
+                                GatewayEvent.LISTENER_FAILED, "name", name, "reason", f.cause());
+                    }
+                });
+    }
+
     /** Begins a planned stop; {@code onStopped} runs when the process may end. */
     public void stop(Runnable onStopped) {
         mLoop.execute(() -> mStop.begin(onStopped));
@@ -273,14 +289,10 @@
         return mConfig.config().map(ServingConfig::limits).orElse(RequestLimits.DEFAULT);
     }
 
-    Map<ModelId, Integer> namedVersions() {
+    NamedVersions versions() {
         return mConfig.versions();
     }
 
-    int wantedVersion(ModelId model) {
-        return mConfig.versions().getOrDefault(model, 0);
-    }
-
     List<Upstream> engines() {
         return mUpstreams.engines();
     }
@@ -293,6 +305,13 @@
         return mUpstreams.isCurrent(load);
     }
 
+    /** Returns what is believed of an upstream, empty if it is no longer listed. */
+    Optional<UpstreamLoad> load(Upstream upstream) {
+        return loads(upstream.service()).stream()
+                .filter(l -> l.upstream().isSameStart(upstream))
+                .findFirst();
+    }
+
     void followCache(UpstreamLoad load) {
         mLoop.execute(() -> CacheFollower.start(this, mEngines, load));
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/GatewaySettings.java
@@ -26,6 +26,7 @@
  * @param retryExtra second sends allowed beside these, in a window, by all instances together
  * @param retryWindow the window
  * @param leaseTtl time to live of the lease for orders
+ * @param oldWeightsAllowed how long old weights may answer after newer ones were named
  * @param stopGrace how long a planned stop may take
  * @param entryTtl how long callers may keep an answer of the directory
  */
@@ -42,6 +43,7 @@
         double retryExtra,
         Duration retryWindow,
         Duration leaseTtl,
+        Duration oldWeightsAllowed,
         Duration stopGrace,
         Duration entryTtl) {
     /** Checks that all parts are there. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/Members.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Members.java
@@ -54,9 +54,9 @@
         look();
     }
 
-    /** Returns how many instances there are, at least one. */
+    /** Returns how many instances have a row, those included that are stopping or just gone. */
     int count() {
-        return Math.max(1, addresses().size());
+        return Math.max(1, mMembers.size());
     }
 
     /** Returns the addresses of the instances that take callers. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
@@ -72,7 +72,7 @@
     }
 
     private void tick() {
-        Map<ModelId, Integer> wanted = mGateway.namedVersions();
+        Map<ModelId, Integer> wanted = mGateway.versions().newest();
         List<Upstream> engines = mGateway.engines();
         boolean needed = engines.stream().anyMatch(e -> mRollout.isBehind(e, wanted));
         if (!needed || mGateway.isStopping()) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Send.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Send.java
@@ -32,7 +32,13 @@
      *     for workspaces that share nothing
      * @param expectedVersion the weights that the engine must have
      * @param fetchFrom an engine that has more of the prompt, empty if none is known
+     * @param backup an engine that is to keep a copy of the run's memory, empty for none
+     * @param continuesCopy whether the engine has such a copy of this run and goes on from it
      */
     public record EngineSend(
-            String cacheScope, int expectedVersion, Optional<Upstream> fetchFrom) {}
+            String cacheScope,
+            int expectedVersion,
+            Optional<Upstream> fetchFrom,
+            Optional<Upstream> backup,
+            boolean continuesCopy) {}
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/Upstreams.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Upstreams.java
@@ -150,7 +150,15 @@
                 mLoads.computeIfAbsent(upstream.service(), k -> new HashMap<>());
         UpstreamLoad load = loads.get(upstream.id());
         if (load != null && load.upstream().isSameStart(upstream)) {
-            load.relist(upstream);
+            if (load.relist(upstream)) {
+                mGateway.log()
+                        .record(
+                                GatewayEvent.UPSTREAM_WEIGHTS,
+                                "upstream",
+                                upstream.id(),
+                                "weights",
+                                upstream.weights());
+            }
             return;
         }
         if (load != null) {
