Keep shared prompts in the store beside the engines, and copy from it

Ruled out: placement (the homes were right, the parts were gone). A failed try: engines that are next to change, by the order of their ids, got no requests.

--- a/core/src/main/java/org/catkinproxy/serving/Prompt.java
+++ b/core/src/main/java/org/catkinproxy/serving/Prompt.java
@@ -28,6 +28,15 @@
         parts = List.copyOf(parts);
     }
 
+    /** Returns the tokens of the parts that other prompts share: all but the last. */
+    public int sharedTokens() {
+        int shared = 0;
+        for (int i = 0; i < parts.size() - 1; i++) {
+            shared += parts.get(i).tokens();
+        }
+        return shared;
+    }
+
     /**
      * Returns a key for each part, as {@link CachedPrompts} uses them.
      *
--- a/core/src/main/java/org/catkinproxy/serving/ServingConfig.java
+++ b/core/src/main/java/org/catkinproxy/serving/ServingConfig.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.net.HostAndPort;
+
 import org.catkinproxy.id.ServiceId;
 
 import java.util.Map;
@@ -17,13 +19,15 @@
  * @param services the services by id
  * @param limits what callers may send
  * @param keys the access of each key; empty if no keys are needed
+ * @param keptPrompts where engines can keep prompts for each other, empty for nowhere
  */
 public record ServingConfig(
         long version,
         RouteTable routes,
         Map<ServiceId, UpstreamService> services,
         RequestLimits limits,
-        Map<String, WorkspaceAccess> keys) {
+        Map<String, WorkspaceAccess> keys,
+        Optional<HostAndPort> keptPrompts) {
     /** Checks that all parts are there. */
     public ServingConfig {
         checkNotNull(routes, "routes");
--- a/core/src/main/java/org/catkinproxy/serving/Upstream.java
+++ b/core/src/main/java/org/catkinproxy/serving/Upstream.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.net.HostAndPort;
+
 import org.catkinproxy.id.DataCentreId;
 import org.catkinproxy.id.Incarnation;
 import org.catkinproxy.id.InstanceId;
@@ -47,6 +49,11 @@
         weights = Map.copyOf(weights);
     }
 
+    /** Returns its address and port. */
+    public HostAndPort address() {
+        return HostAndPort.fromParts(host, port);
+    }
+
     /** Tells whether {@code other} is the same start of the same process. */
     public boolean isSameStart(Upstream other) {
         return id.equals(other.id) && incarnation.equals(other.incarnation);
--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -1,5 +1,7 @@
 package org.catkinproxy.serving;
 
+import com.google.common.net.HostAndPort;
+
 import org.catkinproxy.id.InstanceId;
 
 import java.util.Collection;
@@ -8,18 +10,19 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Chooses the upstream that is expected to answer a request first.
  *
  * <p>For a plain service that is the one with the least time for an answer, load and failures
  * considered. For an engine it is the least time to the first token: the prompts that wait there,
- * and the part of the prompt that has to be computed. Rendezvous hashing of the prompt's shared
- * parts names an engine that is taken to have them, so that instances which do not know of each
- * other's requests send equal prompts to the same engine. Answers the load patterns of one hot
- * prompt (its cost at the home engine grows until another is cheaper), of upstreams of unequal
- * speed, and of upstreams that fail while they are listed. Not safe for use by several threads.
+ * and the part of the prompt that has to be computed or copied. While no engine is known to have
+ * the shared parts, rendezvous hashing names one that goes first, so that instances which do not
+ * know of each other's requests send equal prompts to the same engine. Answers the load patterns of
+ * one hot prompt (its cost at the home engine grows until another is cheaper), of upstreams of
+ * unequal speed, and of upstreams that fail while they are listed. Not safe for use by several
+ * threads.
  */
 public final class UpstreamChooser {
     /** Time that an ordinary engine computes a prompt token. */
@@ -40,8 +43,8 @@
     /** Copies between data centres take longer than within one. */
     private static final double FETCH_SHARE_ACROSS = 1.7;
 
-    /** An engine that is about to change its weights is used only if no other is. */
-    private static final double CHANGING_NANOS = 2e9;
+    /** What the engine that goes first for a prompt is credited of the shared parts' time. */
+    private static final double HOME_SHARE = 0.5;
 
     private static final double ERROR_WEIGHT = 6;
 
@@ -54,20 +57,22 @@
      * The chosen upstream.
      *
      * @param load the upstream
-     * @param source an engine from which it is to copy what it lacks, empty if there is none
+     * @param source from where it is to copy what it lacks, empty if there is nothing to copy
      * @param backup an engine with the same weights that can keep a copy of the run's memory
+     * @param keepAt where it is to send the prompt for others, empty for nowhere
      * @param uncachedTokens the prompt tokens that it has to compute, 0 for a plain service
      * @param expectedNanos the time that an ordinary upstream would need, without its queue
      */
     public record Choice(
             UpstreamLoad load,
-            Optional<Upstream> source,
+            Optional<HostAndPort> source,
             Optional<Upstream> backup,
+            Optional<HostAndPort> keepAt,
             long uncachedTokens,
             double expectedNanos) {
         /** Returns a choice for which nothing is to be computed or copied. */
         public static Choice of(UpstreamLoad load) {
-            return new Choice(load, Optional.empty(), Optional.empty(), 0, 0);
+            return new Choice(load, Optional.empty(), Optional.empty(), Optional.empty(), 0, 0);
         }
     }
 
@@ -78,9 +83,14 @@
      * @param scope what sets its cached parts apart from others of the same version
      * @param versions the versions of weights that were named
      * @param fetchNanosPerToken how long an engine takes to copy a token from another one
+     * @param kept the store of kept prompts, empty if there is none
      */
     public record PlacedPrompt(
-            Prompt prompt, String scope, NamedVersions versions, double fetchNanosPerToken) {
+            Prompt prompt,
+            String scope,
+            NamedVersions versions,
+            double fetchNanosPerToken,
+            Optional<KeptPrompts> kept) {
         /** Returns the newest version of its model's weights. */
         public int newestVersion() {
             return versions.newest(prompt.model());
@@ -128,57 +138,51 @@
                         .map(l -> new Candidate(l, placed, now))
                         .filter(c -> isUsable(c, placed, now))
                         .toList();
-        Set<InstanceId> changing = changing(loads, placed);
-        Candidate home = home(candidates, changing, placed.prompt());
+        Candidate home = home(candidates, placed.prompt());
         Choice best = null;
         double least = Double.MAX_VALUE;
         for (Candidate candidate : candidates) {
-            Choice choice = choice(candidate, candidates, home, placed);
+            Choice choice = choice(candidate, candidates, placed, now);
             double cost = cost(choice, candidate, placed, now);
-            cost += changing.contains(candidate.id()) ? CHANGING_NANOS : 0;
+            if (candidate == home) {
+                cost -= HOME_SHARE * placed.prompt().sharedTokens() * NANOS_PER_TOKEN;
+            }
             if (cost < least) {
                 least = cost;
                 best = choice;
             }
         }
-        return Optional.ofNullable(best).map(c -> withBackup(c, candidates, changing));
+        return Optional.ofNullable(best).map(c -> withCopies(c, candidates, placed, now));
     }
 
-    /** Adds the least busy other engine with the same weights. */
-    private static Choice withBackup(
-            Choice choice, List<Candidate> candidates, Set<InstanceId> changing) {
-        InstanceId chosen = choice.load().upstream().id();
-        int version =
-                candidates.stream()
-                        .filter(c -> c.id().equals(chosen))
-                        .findFirst()
-                        .orElseThrow()
-                        .mVersion;
+    /** Adds the least busy other engine with the same weights, and where to keep the prompt. */
+    private static Choice withCopies(
+            Choice choice, List<Candidate> candidates, PlacedPrompt placed, long now) {
+        Candidate chosen =
+                candidates.stream().filter(c -> c.mLoad == choice.load()).findFirst().orElseThrow();
         Optional<Upstream> backup =
                 candidates.stream()
-                        .filter(c -> !c.id().equals(chosen) && c.mVersion == version)
-                        .filter(c -> !changing.contains(c.id()))
+                        .filter(c -> c != chosen && c.mVersion == chosen.mVersion)
                         .min(Comparator.comparingInt(c -> c.mLoad.inFlight()))
                         .map(c -> c.mLoad.upstream());
+        Optional<HostAndPort> keepAt =
+                placed.kept()
+                        .filter(k -> isWorthKeeping(k, chosen, placed, now))
+                        .map(KeptPrompts::address);
         return new Choice(
                 choice.load(),
                 choice.source(),
                 backup,
+                keepAt,
                 choice.uncachedTokens(),
                 choice.expectedNanos());
     }
 
-    /**
-     * The engines that are about to change their weights, which reject what they have not begun.
-     */
-    private static Set<InstanceId> changing(Collection<UpstreamLoad> loads, PlacedPrompt placed) {
-        int newest = placed.newestVersion();
-        return loads.stream()
-                .filter(l -> l.version(placed.prompt()) < newest)
-                .map(l -> l.upstream().id())
-                .sorted()
-                .limit(VersionRollout.concurrent(loads.size()))
-                .collect(Collectors.toSet());
+    /** Tells whether shared parts are long, and the store lacks some of them. */
+    private static boolean isWorthKeeping(
+            KeptPrompts kept, Candidate chosen, PlacedPrompt placed, long now) {
+        long lacking = placed.prompt().sharedTokens() - chosen.keptTokens(kept, placed, now);
+        return chosen.mVersion > 0 && lacking >= LEAST_FETCH_TOKENS;
     }
 
     private static boolean isUsable(Candidate candidate, PlacedPrompt placed, long now) {
@@ -186,13 +190,10 @@
     }
 
     private static Choice choice(
-            Candidate candidate, List<Candidate> all, Candidate home, PlacedPrompt placed) {
+            Candidate candidate, List<Candidate> all, PlacedPrompt placed, long now) {
         long cached = candidate.mCached;
-        if (candidate == home) {
-            cached = Math.max(cached, sharedTokens(placed.prompt()));
-        }
-        Optional<Candidate> source = source(candidate, cached, all);
-        long fetched = source.map(s -> s.mCached).orElse(cached) - cached;
+        Optional<Source> source = source(candidate, cached, all, placed, now);
+        long fetched = source.map(Source::tokens).orElse(cached) - cached;
         long uncached = Math.max(0, placed.prompt().tokens() - cached - fetched);
         double expected =
                 FIRST_TOKEN_NANOS
@@ -201,7 +202,8 @@
                         + candidate.mLoad.pendingTokens() * NANOS_PER_TOKEN;
         return new Choice(
                 candidate.mLoad,
-                source.map(s -> s.mLoad.upstream()),
+                source.map(Source::address),
+                Optional.empty(),
                 Optional.empty(),
                 uncached,
                 expected);
@@ -214,13 +216,30 @@
         return cost + (candidate.mVersion < placed.newestVersion() ? OLD_WEIGHTS_NANOS : 0);
     }
 
-    /** The engine with the same weights that has most of what {@code candidate} lacks. */
-    private static Optional<Candidate> source(
-            Candidate candidate, long cached, List<Candidate> all) {
-        return all.stream()
-                .filter(c -> c != candidate && c.mVersion == candidate.mVersion)
-                .filter(c -> c.mCached - cached >= LEAST_FETCH_TOKENS)
-                .max(Comparator.comparingLong(c -> c.mCached));
+    /** From where a prompt can be copied, and how many leading tokens of it are there. */
+    private record Source(HostAndPort address, long tokens) {}
+
+    /** The best source for what {@code candidate} lacks, made on the same weights. */
+    private static Optional<Source> source(
+            Candidate candidate, long cached, List<Candidate> all, PlacedPrompt placed, long now) {
+        if (candidate.mVersion == 0) {
+            return Optional.empty();
+        }
+        Stream<Source> engines =
+                all.stream()
+                        .filter(c -> c != candidate && c.mVersion == candidate.mVersion)
+                        .map(c -> new Source(c.mLoad.upstream().address(), c.mCached));
+        Stream<Source> kept =
+                placed.kept().stream()
+                        .map(k -> new Source(k.address(), candidate.keptTokens(k, placed, now)));
+        // Among equals the engines go first: their links are many, the store's is one.
+        return Stream.concat(engines, kept)
+                .filter(s -> s.tokens() - cached >= LEAST_FETCH_TOKENS)
+                .max(Comparator.comparingLong(Source::tokens).thenComparing(s -> isEngine(s, all)));
+    }
+
+    private static boolean isEngine(Source source, List<Candidate> all) {
+        return all.stream().anyMatch(c -> c.mLoad.upstream().address().equals(source.address()));
     }
 
     /** An engine, with what it has of the prompt. */
@@ -239,6 +258,11 @@
         InstanceId id() {
             return mLoad.upstream().id();
         }
+
+        long keptTokens(KeptPrompts kept, PlacedPrompt placed, long now) {
+            long[] keys = placed.prompt().keys(placed.scope(mVersion));
+            return kept.cached().tokens(placed.prompt(), keys, now);
+        }
     }
 
     /** Those that are fit, or all that are not leaving if none is. */
@@ -250,25 +274,14 @@
         return fit.isEmpty() ? others.stream().filter(l -> !l.upstream().leaving()).toList() : fit;
     }
 
-    /** The last part is the request's own; what is before it is shared. */
-    private static int sharedTokens(Prompt prompt) {
-        int tokens = 0;
-        for (int i = 0; i < prompt.parts().size() - 1; i++) {
-            tokens += prompt.parts().get(i).tokens();
-        }
-        return tokens;
-    }
-
-    /** The engine that is taken to have the shared parts while none is known to have them. */
-    private static Candidate home(
-            List<Candidate> candidates, Set<InstanceId> changing, Prompt prompt) {
+    /** The engine that goes first for shared parts that none is known to have yet. */
+    private static Candidate home(List<Candidate> candidates, Prompt prompt) {
         boolean unknown = candidates.stream().allMatch(c -> c.mCached == 0);
         if (!unknown || prompt.parts().size() < 2) {
             return null;
         }
         long key = prompt.parts().get(0).id();
         return candidates.stream()
-                .filter(c -> !changing.contains(c.id()))
                 .max(Comparator.comparingLong(c -> rendezvous(key, c.mLoad)))
                 .orElse(null);
     }
--- a/core/src/main/java/org/catkinproxy/serving/VersionRollout.java
+++ b/core/src/main/java/org/catkinproxy/serving/VersionRollout.java
@@ -191,11 +191,7 @@
                 .forEach(p -> p.mChanging = false);
     }
 
-    /**
-     * Returns how many of {@code engines} engines change at a time: those that are behind, in the
-     * order of their ids. So every instance can tell which they are without asking the holder.
-     */
-    static int concurrent(int engines) {
+    private static int concurrent(int engines) {
         return Math.max(LEAST_CONCURRENT, (int) Math.ceil(engines * CONCURRENT_SHARE));
     }
 
--- a/core/src/test/java/org/catkinproxy/serving/UpstreamChooserTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/UpstreamChooserTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.net.HostAndPort;
+
 import net.jqwik.api.Example;
 
 import org.catkinproxy.id.InstanceId;
@@ -21,8 +23,10 @@
     private final UpstreamChooser mChooser = UpstreamChooser.of(new SplittableRandom(1));
     private final NamedVersions mVersions = NamedVersions.of(10 * Samples.SECOND);
 
+    private Optional<KeptPrompts> mKept = Optional.empty();
+
     private UpstreamChooser.PlacedPrompt placed(Prompt prompt) {
-        return new UpstreamChooser.PlacedPrompt(prompt, "*", mVersions, FETCH_NANOS);
+        return new UpstreamChooser.PlacedPrompt(prompt, "*", mVersions, FETCH_NANOS, mKept);
     }
 
     private static List<UpstreamLoad> engines(int count) {
@@ -64,7 +68,7 @@
 
         UpstreamChooser.Choice choice = choose(loads, prompt).orElseThrow();
         assertThat(choice.load()).isSameInstanceAs(loads.get(1));
-        assertThat(choice.source()).hasValue(loads.get(0).upstream());
+        assertThat(choice.source()).hasValue(loads.get(0).upstream().address());
         assertThat(choice.uncachedTokens()).isEqualTo(200);
     }
 
@@ -102,6 +106,23 @@
                 .isEmpty();
     }
 
+    @Example
+    void whatNoEngineHasAnyMoreIsCopiedFromTheStoreAndKeptThereOnce() {
+        List<UpstreamLoad> loads = engines(3);
+        Prompt prompt = Samples.prompt(2_000, 4_000, 1_000);
+        KeptPrompts kept =
+                new KeptPrompts(HostAndPort.fromParts("10.0.0.9", 80), new CachedPrompts());
+        mKept = Optional.of(kept);
+        assertThat(choose(loads, prompt).orElseThrow().keepAt()).hasValue(kept.address());
+
+        kept.cached().told("*.1", prompt.parts().get(0).id(), 2_000);
+        kept.cached().told("*.1", prompt.parts().get(1).id(), 4_000);
+        UpstreamChooser.Choice choice = choose(loads, prompt).orElseThrow();
+        assertThat(choice.keepAt()).isEmpty();
+        assertThat(choice.source()).hasValue(kept.address());
+        assertThat(choice.uncachedTokens()).isEqualTo(1_000);
+    }
+
     @Example
     void workSpreadsBySpeed() {
         List<UpstreamLoad> loads =
--- a/gateway/src/main/java/org/catkinproxy/gateway/CacheFollower.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CacheFollower.java
@@ -1,53 +1,74 @@
 package org.catkinproxy.gateway;
 
-import org.catkinproxy.serving.UpstreamLoad;
+import com.google.common.net.HostAndPort;
+
+import org.catkinproxy.serving.CachedPrompts;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
- * Follows the cache events of one engine for as long as it is listed.
+ * Follows the events of one cache for as long as it is of interest.
  *
- * <p>A gap or a restart empties what is believed of the cache. An engine that takes no more
- * followers is asked again after a while. Used by the event loop only.
+ * <p>A gap or a restart empties what is believed of the cache. One that does not answer, or takes
+ * no more followers, is asked again after a while, and nothing is believed of it meanwhile. Used by
+ * the event loop only.
  */
 final class CacheFollower {
     private static final long RETRY_MILLIS = 1_500;
 
     private final Gateway mGateway;
     private final EngineControl mControl;
-    private final UpstreamLoad mLoad;
+    private final HostAndPort mAddress;
+    private final CachedPrompts mCached;
+    private final BooleanSupplier mWanted;
     private String mEpoch = "";
     private long mNext;
 
-    private CacheFollower(Gateway gateway, EngineControl control, UpstreamLoad load) {
+    private CacheFollower(
+            Gateway gateway,
+            EngineControl control,
+            HostAndPort address,
+            CachedPrompts cached,
+            BooleanSupplier wanted) {
         mGateway = gateway;
         mControl = control;
-        mLoad = load;
+        mAddress = address;
+        mCached = cached;
+        mWanted = wanted;
     }
 
-    static void start(Gateway gateway, EngineControl control, UpstreamLoad load) {
-        new CacheFollower(gateway, control, load).ask();
+    /** Follows the cache at {@code address} while {@code wanted}. */
+    static void start(
+            Gateway gateway,
+            EngineControl control,
+            HostAndPort address,
+            CachedPrompts cached,
+            BooleanSupplier wanted) {
+        new CacheFollower(gateway, control, address, cached, wanted).ask();
     }
 
     private void ask() {
-        if (!mGateway.isCurrent(mLoad) || mGateway.isStopping()) {
-            return;
+        if (mWanted.getAsBoolean() && !mGateway.isStopping()) {
+            mControl.cacheChanges(mAddress, mNext).subscribe(this::take, this::askLater);
         }
-        mControl.cacheChanges(mLoad.upstream(), mNext).subscribe(this::take, e -> askLater());
     }
 
-    /** An engine that can not be asked is found by the requests sent there, and logged then. */
-    private void askLater() {
+    private void askLater(Throwable reason) {
+        mGateway.log().record(GatewayEvent.CACHE_NOT_FOLLOWED, "cache", mAddress, "reason", reason);
+        mCached.forget();
+        mEpoch = "";
+        mNext = 0;
         mGateway.loop().schedule(this::ask, RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void take(EngineControl.CacheChanges changes) {
         if (changes.lost() || !changes.epoch().equals(mEpoch)) {
-            mLoad.cached().forget();
+            mCached.forget();
         }
         mEpoch = changes.epoch();
         mNext = changes.next();
-        changes.changes().forEach(c -> mLoad.cached().told(c.scope(), c.part(), c.tokens()));
+        changes.changes().forEach(c -> mCached.told(c.scope(), c.part(), c.tokens()));
         mGateway.loop().execute(this::ask);
     }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
@@ -92,6 +92,7 @@
             return;
         }
         mConfig = Optional.of(config);
+        mGateway.configChanged(config);
         mGateway.log().record(GatewayEvent.CONFIG_IN_FORCE, "version", config.version());
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/EngineControl.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/EngineControl.java
@@ -1,5 +1,7 @@
 package org.catkinproxy.gateway;
 
+import com.google.common.net.HostAndPort;
+
 import org.catkinproxy.id.FencingNumber;
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.serving.Upstream;
@@ -42,8 +44,8 @@
      */
     record CacheChange(String scope, long part, int tokens) {}
 
-    /** Waits for changes of an engine's cache after position {@code since}. */
-    Single<CacheChanges> cacheChanges(Upstream engine, long since);
+    /** Waits for changes of the cache at {@code address} after position {@code since}. */
+    Single<CacheChanges> cacheChanges(HostAndPort address, long since);
 
     /** Asks an engine for its state. */
     Single<VersionRollout.EngineReport> report(Upstream engine);
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -134,7 +134,8 @@
                         .orElse(SHARED_SCOPE);
         double fetch =
                 mGateway.engineLimits(mService).map(EngineLimits::fetchNanosPerToken).orElse(0.0);
-        return new UpstreamChooser.PlacedPrompt(prompt, scope, mGateway.versions(), fetch);
+        return new UpstreamChooser.PlacedPrompt(
+                prompt, scope, mGateway.versions(), fetch, mGateway.keptPrompts());
     }
 
     /** Begins. */
@@ -477,6 +478,7 @@
                                     p.scope(mVersion),
                                     mVersion,
                                     mChoice.source(),
+                                    mChoice.keepAt(),
                                     mChoice.backup().filter(b -> mBacksUp),
                                     mContinuesCopy));
         }
@@ -484,6 +486,10 @@
         private void noteCached(UpstreamChooser.PlacedPrompt placed) {
             long[] keys = placed.prompt().keys(placed.scope(mVersion));
             mChoice.load().cached().sent(placed.prompt(), keys, mGateway.now());
+            if (mChoice.keepAt().isPresent()) {
+                placed.kept()
+                        .ifPresent(k -> k.cached().sent(placed.prompt(), keys, mGateway.now()));
+            }
         }
 
         private OptionalLong resumeAfter() {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -2,7 +2,9 @@
 
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.id.ServiceId;
+import org.catkinproxy.serving.CachedPrompts;
 import org.catkinproxy.serving.EngineLimits;
+import org.catkinproxy.serving.KeptPrompts;
 import org.catkinproxy.serving.NamedVersions;
 import org.catkinproxy.serving.RequestLimits;
 import org.catkinproxy.serving.ServingConfig;
@@ -66,6 +68,7 @@
     private final Map<ServiceId, SharedRetryBudget> mBudgets = new HashMap<>();
     private final Set<FrontConnection> mConnections = new HashSet<>();
     private final Set<Exchange> mExchanges = new HashSet<>();
+    private Optional<KeptPrompts> mKept = Optional.empty();
     private Channel mFrontListener;
 
     private Gateway(
@@ -313,7 +316,35 @@
     }
 
     void followCache(UpstreamLoad load) {
-        mLoop.execute(() -> CacheFollower.start(this, mEngines, load));
+        mLoop.execute(
+                () ->
+                        CacheFollower.start(
+                                this,
+                                mEngines,
+                                load.upstream().address(),
+                                load.cached(),
+                                () -> isCurrent(load)));
+    }
+
+    /** Returns the store of kept prompts that the configuration names, empty if it names none. */
+    Optional<KeptPrompts> keptPrompts() {
+        return mKept;
+    }
+
+    /** Follows the store of kept prompts that a new configuration names. */
+    void configChanged(ServingConfig config) {
+        if (config.keptPrompts().equals(mKept.map(KeptPrompts::address))) {
+            return;
+        }
+        mKept = config.keptPrompts().map(a -> new KeptPrompts(a, new CachedPrompts()));
+        mKept.ifPresent(
+                k ->
+                        CacheFollower.start(
+                                this,
+                                mEngines,
+                                k.address(),
+                                k.cached(),
+                                () -> mKept.filter(k::equals).isPresent()));
     }
 
     /** Returns what the engines of a service can hold, empty if they are not known. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/Send.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Send.java
@@ -1,5 +1,7 @@
 package org.catkinproxy.gateway;
 
+import com.google.common.net.HostAndPort;
+
 import org.catkinproxy.serving.Upstream;
 
 import java.util.Optional;
@@ -31,14 +33,16 @@
      * @param cacheScope under which the engine keeps the prompt; it differs for other weights and
      *     for workspaces that share nothing
      * @param expectedVersion the weights that the engine must have
-     * @param fetchFrom an engine that has more of the prompt, empty if none is known
+     * @param fetchFrom from where the engine copies more of the prompt, empty for nowhere
+     * @param keepAt where the engine sends the prompt for others, empty for nowhere
      * @param backup an engine that is to keep a copy of the run's memory, empty for none
      * @param continuesCopy whether the engine has such a copy of this run and goes on from it
      */
     public record EngineSend(
             String cacheScope,
             int expectedVersion,
-            Optional<Upstream> fetchFrom,
+            Optional<HostAndPort> fetchFrom,
+            Optional<HostAndPort> keepAt,
             Optional<Upstream> backup,
             boolean continuesCopy) {}
 }
