--- a/core/src/main/java/org/catkinproxy/serving/NamedVersions.java
+++ b/core/src/main/java/org/catkinproxy/serving/NamedVersions.java
@@ -21,7 +21,15 @@
     private static final double USABLE_SHARE = 0.7;
 
     private final long mAllowedNanos;
-    private final Map<ModelId, NavigableMap<Integer, Long>> mNamedAt = new HashMap<>();
+    private final Map<ModelId, NavigableMap<Integer, Naming>> mNamings = new HashMap<>();
+
+    /**
+     * When a version was named.
+     *
+     * @param at the time
+     * @param certain whether the time is known, not only that it was before this process's start
+     */
+    private record Naming(long at, boolean certain) {}
 
     private NamedVersions(long allowedNanos) {
         checkArgument(allowedNanos > 0, "allowedNanos: %s", allowedNanos);
@@ -35,30 +43,57 @@
 
     /** Notes that a version was named; returns whether it is newer than all before. */
     public boolean named(ModelId model, int version, long now) {
-        NavigableMap<Integer, Long> versions =
-                mNamedAt.computeIfAbsent(model, k -> new TreeMap<>());
+        return add(model, version, new Naming(now, true));
+    }
+
+    /**
+     * Notes that a version had been named before this process started, nobody knows when; returns
+     * whether it is newer than all before.
+     */
+    public boolean found(ModelId model, int version, long now) {
+        return add(model, version, new Naming(now - usableNanos(), false));
+    }
+
+    private boolean add(ModelId model, int version, Naming naming) {
+        NavigableMap<Integer, Naming> versions =
+                mNamings.computeIfAbsent(model, k -> new TreeMap<>());
         boolean newer = versions.isEmpty() || versions.lastKey() < version;
-        versions.putIfAbsent(version, now);
+        versions.putIfAbsent(version, naming);
         return newer;
     }
 
     /** Returns the newest version of a model's weights, 0 if none was named. */
     public int newest(ModelId model) {
-        NavigableMap<Integer, Long> versions = mNamedAt.get(model);
+        NavigableMap<Integer, Naming> versions = mNamings.get(model);
         return versions == null ? 0 : versions.lastKey();
     }
 
     /** Returns the newest version of each model. */
     public Map<ModelId, Integer> newest() {
         Map<ModelId, Integer> newest = new HashMap<>();
-        mNamedAt.forEach((model, versions) -> newest.put(model, versions.lastKey()));
+        mNamings.forEach((model, versions) -> newest.put(model, versions.lastKey()));
         return newest;
     }
 
     /** Tells whether answers made on {@code version} are still of use at {@code now}. */
     public boolean isUsable(ModelId model, int version, long now) {
-        NavigableMap<Integer, Long> versions = mNamedAt.get(model);
-        Map.Entry<Integer, Long> next = versions == null ? null : versions.higherEntry(version);
-        return next == null || now - next.getValue() < mAllowedNanos * USABLE_SHARE;
+        Naming next = next(model, version);
+        return next == null || now - next.at() < usableNanos();
+    }
+
+    /** Tells whether answers made on {@code version} may be of use, for all that is known. */
+    public boolean mayBeUsable(ModelId model, int version, long now) {
+        Naming next = next(model, version);
+        return next == null || !next.certain() || now - next.at() < usableNanos();
+    }
+
+    private Naming next(ModelId model, int version) {
+        NavigableMap<Integer, Naming> versions = mNamings.get(model);
+        Map.Entry<Integer, Naming> next = versions == null ? null : versions.higherEntry(version);
+        return next == null ? null : next.getValue();
+    }
+
+    private long usableNanos() {
+        return (long) (mAllowedNanos * USABLE_SHARE);
     }
 }
--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -3,6 +3,7 @@
 import com.google.common.net.HostAndPort;
 
 import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.id.ModelId;
 
 import java.util.Collection;
 import java.util.Comparator;
@@ -133,11 +134,7 @@
             Set<InstanceId> excluded,
             PlacedPrompt placed,
             long now) {
-        List<Candidate> candidates =
-                usable(loads, excluded, now).stream()
-                        .map(l -> new Candidate(l, placed, now))
-                        .filter(c -> isUsable(c, placed, now))
-                        .toList();
+        List<Candidate> candidates = candidates(usable(loads, excluded, now), placed, now);
         Candidate home = home(candidates, placed.prompt());
         Choice best = null;
         double least = Double.MAX_VALUE;
@@ -185,8 +182,17 @@
         return chosen.mVersion > 0 && lacking >= LEAST_FETCH_TOKENS;
     }
 
-    private static boolean isUsable(Candidate candidate, PlacedPrompt placed, long now) {
-        return placed.versions().isUsable(placed.prompt().model(), candidate.mVersion, now);
+    /** The engines whose weights are new enough, or may be if none certainly are. */
+    private static List<Candidate> candidates(
+            List<UpstreamLoad> loads, PlacedPrompt placed, long now) {
+        NamedVersions versions = placed.versions();
+        ModelId model = placed.prompt().model();
+        List<Candidate> all = loads.stream().map(l -> new Candidate(l, placed, now)).toList();
+        List<Candidate> usable =
+                all.stream().filter(c -> versions.isUsable(model, c.mVersion, now)).toList();
+        return usable.isEmpty()
+                ? all.stream().filter(c -> versions.mayBeUsable(model, c.mVersion, now)).toList()
+                : usable;
     }
 
     private static Choice choice(
--- a/core/src/main/java/org/catkinproxy/serving/VersionRollout.java
+++ b/core/src/main/java/org/catkinproxy/serving/VersionRollout.java
@@ -90,7 +90,7 @@
         List<Upstream> behind =
                 engines.stream()
                         .filter(e -> isBehind(e, wanted))
-                        .sorted(Comparator.comparing(Upstream::id))
+                        .sorted(Comparator.comparingInt(VersionRollout::oldestWeights))
                         .toList();
         finishOthers(behind);
         int free = concurrent(engines.size()) - changing(now);
@@ -191,6 +191,11 @@
                 .forEach(p -> p.mChanging = false);
     }
 
+    /** Engines with the oldest weights go first, since their answers are the first of no use. */
+    private static int oldestWeights(Upstream engine) {
+        return engine.weights().values().stream().mapToInt(Integer::intValue).min().orElse(0);
+    }
+
     private static int concurrent(int engines) {
         return Math.max(LEAST_CONCURRENT, (int) Math.ceil(engines * CONCURRENT_SHARE));
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
@@ -18,6 +18,7 @@
     private final NamedVersions mVersions;
     private Optional<ServingConfig> mConfig = Optional.empty();
     private boolean mConnected;
+    private boolean mReadOnce;
 
     ConfigFollower(Gateway gateway, Duration oldWeightsAllowed) {
         mGateway = gateway;
@@ -41,6 +42,7 @@
     @Override
     public void onTable(List<TableRow> rows) {
         rows.forEach(this::take);
+        mReadOnce = true;
     }
 
     @Override
@@ -97,7 +99,12 @@
     }
 
     private void takeVersion(RowReader.NamedVersion named) {
-        if (!mVersions.named(named.model(), named.version(), mGateway.now())) {
+        long now = mGateway.now();
+        boolean newer =
+                mReadOnce
+                        ? mVersions.named(named.model(), named.version(), now)
+                        : mVersions.found(named.model(), named.version(), now);
+        if (!newer) {
             return;
         }
         mGateway.log()
--- a/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
@@ -29,8 +29,9 @@
 /**
  * Brings all engines to the newest weights while this instance holds the lease for it.
  *
- * <p>The lease is only asked for while an engine lacks weights, and is left to lapse after that.
- * Used by the event loop only.
+ * <p>The lease is only asked for while an engine lacks weights, and is left to lapse after that. An
+ * instance that is stopping keeps a lease that it has, but asks for none. Used by the event loop
+ * only.
  */
 final class RolloutTask {
     private static final String TABLE = "leases";
@@ -75,11 +76,12 @@
         Map<ModelId, Integer> wanted = mGateway.versions().newest();
         List<Upstream> engines = mGateway.engines();
         boolean needed = engines.stream().anyMatch(e -> mRollout.isBehind(e, wanted));
-        if (!needed || mGateway.isStopping()) {
+        long now = mGateway.now();
+        boolean leaving = mGateway.isStopping() && mLease.held(now).isEmpty();
+        if (!needed || leaving) {
             mRunning = false;
             return;
         }
-        long now = mGateway.now();
         mLease.handle(new LeaseEvent.Tick(), now).ifPresent(this::act);
         noteHolding(mLease.held(now));
         if (mHeld.isPresent()) {
