--- a/core/src/test/java/org/catkinproxy/serving/NamedVersionsTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/NamedVersionsTest.java
@@ -31,4 +31,15 @@
         assertThat(mVersions.isUsable(Samples.MODEL, 1, 9 * Samples.SECOND)).isFalse();
         assertThat(mVersions.newest(Samples.MODEL)).isEqualTo(2);
     }
+
+    @Example
+    void oldWeightsAreTheLastResortWhenNobodyKnowsTheirAge() {
+        mVersions.found(Samples.MODEL, 2, 0);
+
+        assertThat(mVersions.isUsable(Samples.MODEL, 1, 0)).isFalse();
+        assertThat(mVersions.mayBeUsable(Samples.MODEL, 1, 0)).isTrue();
+
+        mVersions.named(Samples.MODEL, 3, 0);
+        assertThat(mVersions.mayBeUsable(Samples.MODEL, 2, 8 * Samples.SECOND)).isFalse();
+    }
 }
--- a/core/src/test/java/org/catkinproxy/serving/VersionRolloutTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/VersionRolloutTest.java
@@ -65,6 +65,19 @@
                 .containsExactly(new VersionRollout.Step.Ask(after));
     }
 
+    @Example
+    void enginesWithTheOldestWeightsGoFirst() {
+        List<Upstream> engines = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            engines.add(Samples.engine("e" + i, i < 3 ? 2 : 1));
+        }
+        List<String> asked =
+                mRollout.plan(Map.of(Samples.MODEL, 3), engines, 0).stream()
+                        .map(s -> s.engine().id().value())
+                        .toList();
+        assertThat(asked).containsAtLeast("e3", "e4");
+    }
+
     @Example
     void anOrderWhoseAnswerIsLostIsSettledByAsking() {
         Upstream engine = Samples.engine("e", 1);
--- a/gateway/src/main/java/org/catkinproxy/gateway/Admission.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Admission.java
@@ -39,6 +39,7 @@
                                                 "no configuration yet"));
         Route route = route(config, request);
         Optional<WorkspaceAccess> access = access(config, route, head);
+        gateway.checkTakes(route.kind());
         return new Exchange(
                 gateway,
                 front,
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.id.ServiceId;
 import org.catkinproxy.serving.CachedPrompts;
+import org.catkinproxy.serving.CallKind;
 import org.catkinproxy.serving.EngineLimits;
 import org.catkinproxy.serving.KeptPrompts;
 import org.catkinproxy.serving.NamedVersions;
@@ -207,10 +208,14 @@
      * @throws CatkinException if the request is not allowed or can not be read
      */
     Exchange admit(FrontConnection front, HttpRequest request, ByteBuf body) {
-        mStop.checkTakesRequests();
         return Admission.admit(this, front, request, body);
     }
 
+    /** Refuses requests that the instance can not finish any more. */
+    void checkTakes(CallKind kind) {
+        mStop.checkTakes(kind);
+    }
+
     /** Notes a request that was refused before it began. */
     void refused(HttpHeaders headers, CatkinException reason) {
         mLog.record(
--- a/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
@@ -3,6 +3,7 @@
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.error.ErrorCode;
 import org.catkinproxy.error.Step;
+import org.catkinproxy.serving.CallKind;
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -11,13 +12,19 @@
  * The steps of a planned stop.
  *
  * <p>The instance first says that it is not ready and is no longer named to callers; open answers
- * close their connections. Then idle connections are closed, then nothing new is taken, and the
- * process ends when the last request has, or when the grace is nearly over. Used by the event loop
- * only.
+ * close their connections, and idle connections are closed. Callers who were told of it before may
+ * still come: short requests are taken to the end, streams for a while. The process ends when the
+ * last request has, or when the grace is nearly over. Used by the event loop only.
  */
 final class StopSequence {
     private static final long CLOSE_IDLE_MILLIS = 200;
-    private static final long STOP_LISTENING_MILLIS = 1_200;
+
+    /** Streams that begin later might not end within the grace. */
+    private static final long TAKE_STREAMS_MILLIS = 3_300;
+
+    /** Most callers have learnt by then which instances to use instead. */
+    private static final long STAY_MILLIS = 3_100;
+
     private static final long POLL_MILLIS = 100;
 
     /** The process ends this long before the platform would kill it. */
@@ -27,7 +34,6 @@
     private final Duration mGrace;
     private boolean mBegun;
     private long mBegunAt;
-    private boolean mListening = true;
 
     StopSequence(Gateway gateway, Duration grace) {
         mGateway = gateway;
@@ -48,33 +54,32 @@
         mGateway.members().leave();
         mGateway.loop()
                 .schedule(mGateway::closeIdleConnections, CLOSE_IDLE_MILLIS, TimeUnit.MILLISECONDS);
-        mGateway.loop().schedule(this::stopListening, STOP_LISTENING_MILLIS, TimeUnit.MILLISECONDS);
         mGateway.loop().schedule(() -> poll(onStopped), POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /**
-     * Refuses new requests once nothing new is taken.
+     * Refuses a request that might not end within the grace.
      *
      * @throws CatkinException if the request has to go to another instance
      */
-    void checkTakesRequests() {
-        if (!mListening) {
+    void checkTakes(CallKind kind) {
+        if (mBegun && kind == CallKind.STREAM && passedMillis() >= TAKE_STREAMS_MILLIS) {
             throw CatkinException.notRun(
                     ErrorCode.STOPPING, Step.STOP, CatkinException.NO_PEER, "planned stop");
         }
     }
 
-    private void stopListening() {
-        mListening = false;
-        mGateway.stopListening();
-        mGateway.closeIdleConnections();
+    private long passedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(mGateway.now() - mBegunAt);
     }
 
     private void poll(Runnable onStopped) {
-        long passed = TimeUnit.NANOSECONDS.toMillis(mGateway.now() - mBegunAt);
-        boolean done = !mListening && mGateway.openRequests() == 0;
+        long passed = passedMillis();
+        boolean done = passed >= STAY_MILLIS && mGateway.openRequests() == 0;
         if (done || passed >= mGrace.toMillis() - MARGIN_MILLIS) {
             mGateway.log().record(GatewayEvent.STOPPED, "open_requests", mGateway.openRequests());
+            mGateway.stopListening();
+            mGateway.closeIdleConnections();
             mGateway.log().flush();
             mGateway.loop().schedule(onStopped, POLL_MILLIS, TimeUnit.MILLISECONDS);
             return;
