Tell all instances which engines change their weights; let rejected requests wait

The holder now writes its progress to a row that all follow, and a request that was only rejected is placed again for up to 1.5 s.

--- a/core/src/main/java/org/catkinproxy/serving/UpstreamLoad.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamLoad.java
@@ -31,6 +31,8 @@
     private long mSuspicion;
     private boolean mSuspected;
     private long mRejectsUntil;
+    private long mHeardAt;
+    private boolean mHeard;
     private boolean mRejects;
     private final Map<ModelId, Integer> mSeenVersions = new HashMap<>();
     private final CachedPrompts mCached = new CachedPrompts();
@@ -102,6 +104,17 @@
         mSuspicion = 0;
     }
 
+    /** Notes that something came from the upstream, on any connection. */
+    public void heard(long now) {
+        mHeard = true;
+        mHeardAt = now;
+    }
+
+    /** Tells whether something came from the upstream in the last {@code nanos}. */
+    public boolean isAudible(long now, long nanos) {
+        return mHeard && now - mHeardAt < nanos;
+    }
+
     /** Notes that the upstream could not be reached or went silent. */
     public void unreachable(long now) {
         boolean first = mSuspicion == 0;
@@ -117,6 +130,11 @@
         mRejectsUntil = now + nanos;
     }
 
+    /** Notes that the upstream takes requests again. */
+    public void acceptsAgain() {
+        mRejects = false;
+    }
+
     /** Tells whether it should get requests at {@code now} if another one can. */
     public boolean isFit(long now) {
         boolean suspect = mSuspected && mSuspectUntil - now > 0;
--- a/core/src/main/java/org/catkinproxy/serving/VersionRollout.java
+++ b/core/src/main/java/org/catkinproxy/serving/VersionRollout.java
@@ -12,6 +12,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * Works out which engines are to be asked, ordered and watched so that all get the newest weights.
@@ -114,6 +116,20 @@
         return steps;
     }
 
+    /** Returns how far the rollout is, for instances that do not carry it out. */
+    public RolloutState state(long now) {
+        Set<InstanceId> changing = new TreeSet<>();
+        Map<InstanceId, Map<ModelId, Integer>> done = new TreeMap<>();
+        for (Progress progress : mProgress.values()) {
+            if (progress.mChanging && now - progress.mChangingSince < CHANGE_TIMEOUT_NANOS) {
+                changing.add(progress.mEngine.id());
+            } else {
+                progress.mReport.ifPresent(r -> done.put(progress.mEngine.id(), r.weights()));
+            }
+        }
+        return new RolloutState(changing, done);
+    }
+
     /** Tells whether an engine lacks any of the wanted weights, as far as is known. */
     public boolean isBehind(Upstream engine, Map<ModelId, Integer> wanted) {
         Progress progress = mProgress.get(engine.id());
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -52,9 +52,20 @@
     /** A stream without an event for this long is taken up elsewhere, if it may be. */
     private static final long SILENT_STREAM_NANOS = 1_100_000_000L;
 
+    /** A stream that has not begun at an engine which answers others is left there this long. */
+    private static final long QUEUED_NANOS = 2_300_000_000L;
+
     /** A plain request that may run again is sent elsewhere after this many goals. */
     private static final double SILENT_GOALS = 1.8;
 
+    /** A rejected request that waits is placed again after this time. */
+    private static final long WAIT_MILLIS = 120;
+
+    private static final long LONGEST_WAIT_NANOS = 1_500_000_000L;
+
+    /** Checks follow each other after this time at least. */
+    private static final long LEAST_CHECK_NANOS = 10_000_000L;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Scope of the prompts of all workspaces that are not isolated; no workspace has the name. */
@@ -228,6 +239,9 @@
         } else if (mStreaming) {
             mFront.abort();
             finish("broken");
+        } else if (mayWait(failure, now)) {
+            mExcluded.clear();
+            mGateway.loop().schedule(this::placeAfterWait, WAIT_MILLIS, TimeUnit.MILLISECONDS);
         } else if (failure.isNotRun() && mRuns == 0) {
             refuse(ErrorCode.NO_UPSTREAM, reason);
         } else {
@@ -235,6 +249,33 @@
         }
     }
 
+    /**
+     * Tells whether a rejected request waits here. Engines that change their weights reject for a
+     * second or two, which may use up the retry budget; soon after, a place is free and the budget
+     * has grown.
+     */
+    private boolean mayWait(SendFailure failure, long now) {
+        long waited = now - mArrivedAt;
+        return failure == SendFailure.REJECTED
+                && mRuns == 0
+                && mHead.prompt().isPresent()
+                && waited < LONGEST_WAIT_NANOS
+                && mDeadline - now > LONGEST_WAIT_NANOS;
+    }
+
+    private void placeAfterWait() {
+        if (mDone) {
+            return;
+        }
+        if (mBudget.tryRetry(mGateway.now(), mGateway.instances())) {
+            place();
+        } else if (mayWait(SendFailure.REJECTED, mGateway.now())) {
+            mGateway.loop().schedule(this::placeAfterWait, WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            refuse(ErrorCode.NO_UPSTREAM, "rejected by engines, and no retry is left");
+        }
+    }
+
     /** Returns the engine that has a copy of a broken run's memory, if the run may go on there. */
     private Optional<UpstreamChooser.Choice> copyToContinue(
             OpenSend send, SendFailure failure, long now) {
@@ -312,7 +353,7 @@
             onSendFailed(mSend, SendFailure.SILENT, "no answer");
         }
         if (!mDone) {
-            armTimer(nextCheck());
+            armTimer(Math.max(nextCheck(), now + LEAST_CHECK_NANOS));
         }
     }
 
@@ -516,7 +557,7 @@
 
         @Override
         public void onHead(HttpResponse response, AnswerHead head) {
-            mHeardAt = mGateway.now();
+            noteHeard();
             mResponse = response;
             mAnswerHead = head;
             head.weightsVersion().ifPresent(this::sawVersion);
@@ -527,6 +568,11 @@
             }
         }
 
+        private void noteHeard() {
+            mHeardAt = mGateway.now();
+            mChoice.load().heard(mHeardAt);
+        }
+
         private void sawVersion(int version) {
             mHead.prompt().ifPresent(p -> mChoice.load().sawVersion(p.model(), version));
         }
@@ -542,7 +588,7 @@
                 content.release();
                 return;
             }
-            mHeardAt = mGateway.now();
+            noteHeard();
             if (mAnswer != null) {
                 mAnswer.addComponent(true, content);
                 if (mAnswer.readableBytes() > MAX_ANSWER_BYTES) {
@@ -691,11 +737,16 @@
                 return mDeadline;
             }
             if (mRoute.kind() == CallKind.STREAM) {
-                return mHeardAt + SILENT_STREAM_NANOS;
+                return mHeardAt + (mStreaming || !isAtWork() ? SILENT_STREAM_NANOS : QUEUED_NANOS);
             }
             return mStartedAt + (long) (SILENT_GOALS * mRoute.goal().toNanos());
         }
 
+        /** Tells whether the upstream answers others, so that this request waits in its queue. */
+        private boolean isAtWork() {
+            return mChoice.load().isAudible(mGateway.now(), SILENT_STREAM_NANOS / 2);
+        }
+
         /** Gives the send up; what is still open of it is cancelled. */
         void close() {
             if (mClosed) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -29,6 +29,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -45,6 +46,14 @@
  * <p>Everything belongs to one event loop and may only be used on it.
  */
 public final class Gateway {
+    /**
+     * How long a question for changes of the lists waits; a silent connection is found soon after.
+     */
+    private static final Duration LIST_WAIT = Duration.ofMillis(2_000);
+
+    /** News of rollouts are hints, so that a silent connection may be found late. */
+    private static final Duration NEWS_WAIT = Duration.ofSeconds(8);
+
     private static final long SWEEP_MILLIS = 250;
     private static final long LEAST_RETRY_AFTER_MILLIS = 150;
     private static final long RETRY_AFTER_SPREAD_MILLIS = 450;
@@ -64,6 +73,7 @@
     private final Upstreams mUpstreams = new Upstreams(this);
     private final ConfigFollower mConfig;
     private final Members mMembers;
+    private final RolloutNews mNews;
     private final RolloutTask mRollout;
     private final StopSequence mStop;
     private final Map<ServiceId, SharedRetryBudget> mBudgets = new HashMap<>();
@@ -94,9 +104,16 @@
         String address = text(settings.front());
         mMembers = new Members(this, store, settings.instance(), address);
         String session = Long.toHexString(mRandom.nextLong());
+        mNews = new RolloutNews(this, store);
         mRollout =
                 new RolloutTask(
-                        this, store, engines, settings.instance(), session, settings.leaseTtl());
+                        this,
+                        store,
+                        engines,
+                        settings.instance(),
+                        session,
+                        settings.leaseTtl(),
+                        mNews);
         mStop = new StopSequence(this, settings.stopGrace());
     }
 
@@ -119,8 +136,9 @@
         mSettings.probe().ifPresent(a -> serveSmall(a, "probe"));
         mSettings.directory().ifPresent(a -> serveSmall(a, "directory"));
         serveSmall(mSettings.metrics(), "metrics");
-        TableWatch.start(mLoop, mStore, mRows.operatorTable(), mConfig);
-        TableWatch.start(mLoop, mStore, mRows.upstreamTable(), mUpstreams);
+        TableWatch.start(mLoop, mStore, mRows.operatorTable(), mConfig, LIST_WAIT);
+        TableWatch.start(mLoop, mStore, mRows.upstreamTable(), mUpstreams, LIST_WAIT);
+        TableWatch.start(mLoop, mStore, RolloutNews.TABLE, mNews, NEWS_WAIT);
         mMembers.start();
         mLoop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         mLog.record(
@@ -305,6 +323,10 @@
         return mUpstreams.engines();
     }
 
+    List<UpstreamLoad> engineLoads() {
+        return mUpstreams.engineLoads();
+    }
+
     Collection<UpstreamLoad> loads(ServiceId service) {
         return mUpstreams.loads(service);
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
@@ -46,6 +46,7 @@
     private final LeaseMachine mLease;
     private final ObjectMapper mJson = new ObjectMapper();
     private final VersionRollout mRollout = VersionRollout.create();
+    private final RolloutNews mNews;
     private boolean mRunning;
     private Optional<FencingNumber> mHeld = Optional.empty();
 
@@ -55,12 +56,14 @@
             EngineControl control,
             InstanceId self,
             String session,
-            Duration ttl) {
+            Duration ttl,
+            RolloutNews news) {
         mGateway = gateway;
         mLoop = gateway.loop();
         mStore = store;
         mControl = control;
         mSelf = self;
+        mNews = news;
         mLease = LeaseMachine.of(self, session, ttl);
     }
 
@@ -80,12 +83,18 @@
         boolean leaving = mGateway.isStopping() && mLease.held(now).isEmpty();
         if (!needed || leaving) {
             mRunning = false;
+            if (mHeld.isPresent()) {
+                mRollout.plan(wanted, engines, now);
+                mNews.publish(mRollout.state(now));
+            }
             return;
         }
         mLease.handle(new LeaseEvent.Tick(), now).ifPresent(this::act);
         noteHolding(mLease.held(now));
         if (mHeld.isPresent()) {
-            mRollout.plan(wanted, engines, now).forEach(this::carryOut);
+            List<VersionRollout.Step> steps = mRollout.plan(wanted, engines, now);
+            mNews.publish(mRollout.state(now));
+            steps.forEach(this::carryOut);
         }
         mLoop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
@@ -17,9 +17,6 @@
  * event loop only.
  */
 public final class TableWatch {
-    /** How long a call waits for changes; a silent connection is found a little later. */
-    private static final Duration WAIT = Duration.ofMillis(2_000);
-
     private static final long FIRST_BACKOFF_MILLIS = 100;
     private static final long LONGEST_BACKOFF_MILLIS = 800;
 
@@ -42,21 +39,28 @@
     private final TableStore mStore;
     private final String mTable;
     private final Listener mListener;
+    private final Duration mWait;
     private long mVersion = -1;
     private long mBackoffMillis = FIRST_BACKOFF_MILLIS;
     private boolean mClosed;
 
-    private TableWatch(EventLoop loop, TableStore store, String table, Listener listener) {
+    private TableWatch(
+            EventLoop loop, TableStore store, String table, Listener listener, Duration wait) {
         mLoop = loop;
         mStore = store;
         mTable = table;
         mListener = listener;
+        mWait = wait;
     }
 
-    /** Starts to follow a table. */
+    /**
+     * Starts to follow a table.
+     *
+     * @param wait how long a call waits for changes; a silent connection is found a little later
+     */
     public static TableWatch start(
-            EventLoop loop, TableStore store, String table, Listener listener) {
-        TableWatch watch = new TableWatch(loop, store, table, listener);
+            EventLoop loop, TableStore store, String table, Listener listener, Duration wait) {
+        TableWatch watch = new TableWatch(loop, store, table, listener, wait);
         watch.next();
         return watch;
     }
@@ -73,7 +77,7 @@
         if (mVersion < 0) {
             mStore.read(mTable).subscribe(this::onTable, this::onFailure);
         } else {
-            mStore.changes(mTable, mVersion, WAIT).subscribe(this::onChanges, this::onFailure);
+            mStore.changes(mTable, mVersion, mWait).subscribe(this::onChanges, this::onFailure);
         }
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/Upstreams.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Upstreams.java
@@ -39,6 +39,14 @@
         return mLoads.getOrDefault(service, Map.of()).values();
     }
 
+    /** Returns what is believed of all engines. */
+    List<UpstreamLoad> engineLoads() {
+        return mLoads.values().stream()
+                .flatMap(l -> l.values().stream())
+                .filter(l -> !l.upstream().weights().isEmpty())
+                .toList();
+    }
+
     /** Tells whether this belief is still the one about its upstream. */
     boolean isCurrent(UpstreamLoad load) {
         Upstream upstream = load.upstream();
