Change weights under running requests instead of waiting for these

Cause: with mode wait an engine takes nothing for as long as its longest run (1 to 5 s); versions come every 4 s, so that nearly half of the engines were out at any time. Mode keep takes 0.7 s; what the runs make after that earns nothing, which costs less. Copies of runs whose weights changed are not used.

--- a/gateway/src/main/java/org/catkinproxy/gateway/Dialect.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Dialect.java
@@ -18,6 +18,9 @@
     /** Returns the headers of a request as it is sent to an upstream. */
     HttpHeaders writeSend(HttpHeaders fromCaller, Send send);
 
+    /** Returns the field of a stream's event from which on the engine has other weights. */
+    String versionEventField();
+
     /** Reads the head of an upstream's answer. */
     AnswerHead readAnswer(HttpResponse response);
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/EngineControl.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/EngineControl.java
@@ -50,7 +50,7 @@
     /** Asks an engine for its state. */
     Single<VersionRollout.EngineReport> report(Upstream engine);
 
-    /** Orders an engine to change weights as soon as its running requests are done. */
+    /** Orders an engine to change weights at once; its running requests go on. */
     Single<OrderAnswer> order(
             VersionRollout.Step.Order order, InstanceId holder, FencingNumber fence);
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/EventSplitter.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/EventSplitter.java
@@ -15,8 +15,19 @@
 final class EventSplitter {
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+    private final byte[] mVersionField;
     private ByteBuf mPending = Unpooled.EMPTY_BUFFER;
     private long mLastId = Long.MIN_VALUE;
+    private boolean mVersionChanged;
+
+    /**
+     * Makes a splitter.
+     *
+     * @param versionField the field of an event from which on the engine has other weights
+     */
+    EventSplitter(String versionField) {
+        mVersionField = (versionField + ":").getBytes(StandardCharsets.US_ASCII);
+    }
 
     /**
      * Takes a piece of the stream and returns the whole events up to its end, possibly none.
@@ -44,6 +55,11 @@
         return mLastId == Long.MIN_VALUE ? OptionalLong.empty() : OptionalLong.of(mLastId);
     }
 
+    /** Tells whether the engine's weights have changed under the stream. */
+    boolean hasVersionChanged() {
+        return mVersionChanged;
+    }
+
     /** Tells whether the stream stands in the middle of an event. */
     boolean isInEvent() {
         return mPending.isReadable();
@@ -71,17 +87,17 @@
         int at = events.readerIndex();
         while (at < events.writerIndex()) {
             int end = events.indexOf(at, events.writerIndex(), (byte) '\n');
-            if (startsWithId(events, at, end)) {
+            mVersionChanged |= startsWith(events, at, end, mVersionField);
+            if (startsWith(events, at, end, ID_FIELD)) {
                 readId(events.toString(at, end - at, StandardCharsets.US_ASCII));
             }
             at = end + 1;
         }
     }
 
-    private static boolean startsWithId(ByteBuf events, int at, int end) {
-        return end - at > ID_FIELD.length
-                && ByteBufUtil.equals(
-                        events, at, Unpooled.wrappedBuffer(ID_FIELD), 0, ID_FIELD.length);
+    private static boolean startsWith(ByteBuf events, int at, int end, byte[] field) {
+        return end - at > field.length
+                && ByteBufUtil.equals(events, at, Unpooled.wrappedBuffer(field), 0, field.length);
     }
 
     private void readId(String line) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -85,7 +85,7 @@
     private final ServiceId mService;
     private final SharedRetryBudget mBudget;
     private final Set<InstanceId> mExcluded = new HashSet<>();
-    private final EventSplitter mEvents = new EventSplitter();
+    private final EventSplitter mEvents;
     private final Optional<UpstreamChooser.PlacedPrompt> mPlaced;
 
     private OpenSend mSend;
@@ -122,6 +122,7 @@
         mBody = body;
         mRoute = route;
         mAccess = access;
+        mEvents = new EventSplitter(gateway.dialect().versionEventField());
         mArrivedAt = gateway.now();
         mDeadline = mArrivedAt + limitNanos();
         mService = route.service(head.id().value().hashCode());
@@ -279,7 +280,7 @@
     /** Returns the engine that has a copy of a broken run's memory, if the run may go on there. */
     private Optional<UpstreamChooser.Choice> copyToContinue(
             OpenSend send, SendFailure failure, long now) {
-        boolean asked = !mContinuesCopy && mBacksUp && send.mSent;
+        boolean asked = !mContinuesCopy && mBacksUp && send.mSent && !hasOtherWeights(send);
         if (!asked || !RetryRule.mayContinueCopy(mRoute, failure, mDeadline - now)) {
             return Optional.empty();
         }
@@ -291,6 +292,12 @@
                 .map(UpstreamChooser.Choice::of);
     }
 
+    /** A copy that was partly made on other weights must not be gone on from. */
+    private boolean hasOtherWeights(OpenSend send) {
+        int version = send.mChoice.load().version(mHead.prompt().orElseThrow());
+        return mEvents.hasVersionChanged() || version != send.mVersion;
+    }
+
     /** Nothing reached an upstream that could not be connected, which so costs no budget. */
     private boolean mayPlaceAgain(SendFailure failure, long now) {
         boolean paid = mRetryPaid || failure == SendFailure.NOT_CONNECTED;
--- /dev/null
+++ b/gateway/src/test/java/org/catkinproxy/gateway/EventSplitterTest.java
@@ -0,0 +1,65 @@
+package org.catkinproxy.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Streams that arrive in pieces of any length. */
+class EventSplitterTest {
+    private final EventSplitter mSplitter = new EventSplitter("weights");
+
+    private String take(String piece) {
+        ByteBuf whole = mSplitter.take(Unpooled.copiedBuffer(piece, StandardCharsets.US_ASCII));
+        return whole.toString(StandardCharsets.US_ASCII);
+    }
+
+    @Property
+    void piecesOfAnyLengthGiveTheSameStreamInWholeEvents(
+            @ForAll @Size(min = 1, max = 30) List<@IntRange(min = 1, max = 9) Integer> lengths) {
+        String stream = "id: 1\ndata: a\n\nid: 2\ndata: bb\n\nid: 7\ndata: ccc\n\nid: 8\nda";
+        mSplitter = new EventSplitter("weights");
+        StringBuilder passed = new StringBuilder();
+        int at = 0;
+        for (int i = 0; at < stream.length(); i++) {
+            int end = Math.min(stream.length(), at + lengths.get(i % lengths.size()));
+            String whole = take(stream.substring(at, end));
+            assertThat(whole.isEmpty() || whole.endsWith("\n\n")).isTrue();
+            passed.append(whole);
+            at = end;
+        }
+        assertThat(passed.toString()).isEqualTo(stream.substring(0, stream.indexOf("id: 8")));
+        assertThat(mSplitter.lastId().getAsLong()).isEqualTo(7);
+        assertThat(mSplitter.isInEvent()).isTrue();
+    }
+
+    @Example
+    void idThatDoesNotIncreaseIsAnError() {
+        take("id: 3\n\n");
+        String passed;
+        try {
+            passed = take("id: 3\n\n");
+        } catch (IllegalArgumentException e) {
+            assertThat(e).hasMessageThat().contains("3");
+            return;
+        }
+        throw new AssertionError("passed on: " + passed);
+    }
+
+    @Example
+    void changeOfWeightsIsSeen() {
+        take("id: 3\n\n");
+        assertThat(mSplitter.hasVersionChanged()).isFalse();
+        take("weights: 2\nid: 4\n\n");
+        assertThat(mSplitter.hasVersionChanged()).isTrue();
+    }
+}
