--- a/daemon/src/main/java/org/catkinproxy/caller/ServiceHandler.java
+++ b/daemon/src/main/java/org/catkinproxy/caller/ServiceHandler.java
@@ -10,6 +10,7 @@
 import org.catkinproxy.config.Workspace;
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.error.Outcome;
 import org.catkinproxy.error.Step;
 import org.catkinproxy.http.HttpListener;
 import org.catkinproxy.id.IdempotencyKey;
@@ -57,7 +58,7 @@
     Object handle(Context ctx) {
         mActive.enter();
         try {
-            ServiceCall call = call(ctx);
+            ServiceCall call = admit(ctx);
             Disposable unused =
                     mRunner.run(call)
                             .doFinally(mActive::leave)
@@ -71,6 +72,23 @@
         return ctx;
     }
 
+    /**
+     * Refuses calls before their record is read. A call with a key may be a repetition of one that
+     * ran, of which nothing is known yet, so that its refusal does not say that it has not run.
+     */
+    private ServiceCall admit(Context ctx) {
+        try {
+            return call(ctx);
+        } catch (CatkinException e) {
+            boolean keyed = ctx.header(KEY_HEADER).toOptional().isPresent();
+            throw keyed ? withOutcomeUnknown(e) : e;
+        }
+    }
+
+    private static CatkinException withOutcomeUnknown(CatkinException e) {
+        return CatkinException.of(e.code(), e.step(), e.peer(), Outcome.UNKNOWN, e.getMessage(), e);
+    }
+
     private ServiceCall call(Context ctx) {
         Configuration configuration = mGate.configuration();
         Workspace workspace = Authenticator.workspaceOf(ctx, configuration);
--- a/daemon/src/test/java/org/catkinproxy/daemon/FilingFailureTest.java
+++ b/daemon/src/test/java/org/catkinproxy/daemon/FilingFailureTest.java
@@ -81,6 +81,28 @@
         assertThat(executions("dying")).isEqualTo(1);
     }
 
+    /** What refuses a call before its record is read can not say that no earlier attempt ran. */
+    @Example
+    void refusalBeforeTheRecordIsReadSaysNothingOfEarlierAttempts() throws IOException {
+        expectFiled(file(0, "repeated", LONG_MILLIS, "none"));
+        Request known = request(sCluster.url(1), "repeated", LONG_MILLIS);
+        Request elsewhere =
+                known.newBuilder().url(sCluster.url(1) + "/services/none/filings").build();
+        assertThat(outcomeOf(elsewhere)).contains("\"unknown\"");
+        Request stranger = known.newBuilder().header("Authorization", "Bearer no-key").build();
+        assertThat(outcomeOf(stranger)).contains("\"unknown\"");
+
+        Request keyless = elsewhere.newBuilder().removeHeader("Idempotency-Key").build();
+        assertThat(outcomeOf(keyless)).contains("\"not_run\"");
+    }
+
+    private static String outcomeOf(Request request) throws IOException {
+        try (Response response = sCluster.client().newCall(request).execute()) {
+            assertThat(response.isSuccessful()).isFalse();
+            return response.body().string();
+        }
+    }
+
     private static int executions(String key) {
         return sCluster.service().executions(key);
     }
