--- /dev/null
+++ b/gateway/src/test/java/org/catkinproxy/gateway/EventLogTest.java
@@ -0,0 +1,68 @@
+package org.catkinproxy.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import net.jqwik.api.Example;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PipedInputStream;
+import java.io.PipedOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+
+/** A log that nobody reads must not hold up the process. */
+class EventLogTest {
+    @Example
+    void nothingBlocksWhenNobodyReadsAndTheLossIsCounted() {
+        CountDownLatch never = new CountDownLatch(1);
+        EventLog log = EventLog.to(new StuckStream(never), "i");
+        for (int i = 0; i < 100_000; i++) {
+            log.record(GatewayEvent.REQUEST_ENDED, "request", "r" + i);
+            if (i % 1_000 == 0) {
+                log.flush();
+            }
+        }
+        assertThat(log.dropped()).isGreaterThan(0L);
+        never.countDown();
+    }
+
+    @Example
+    void linesAreObjectsWithTypedFields() throws IOException {
+        PipedInputStream in = new PipedInputStream(64 * 1024);
+        EventLog log = EventLog.to(new PipedOutputStream(in), "edge \"1\"");
+        log.record(GatewayEvent.REQUEST_ENDED, "request", "r1", "took_ms", 12L, "late", true);
+        log.flush();
+        byte[] line = new byte[64 * 1024];
+        int length = in.read(line);
+
+        JsonNode event =
+                new ObjectMapper().readTree(new String(line, 0, length, StandardCharsets.UTF_8));
+        assertThat(event.path("instance").asText()).isEqualTo("edge \"1\"");
+        assertThat(event.path("event").asInt()).isEqualTo(1204);
+        assertThat(event.path("name").asText()).isEqualTo("request_ended");
+        assertThat(event.path("took_ms").isNumber()).isTrue();
+        assertThat(event.path("late").asBoolean()).isTrue();
+    }
+
+    /** A stream whose reader has stopped. */
+    private static final class StuckStream extends OutputStream {
+        private final CountDownLatch mNever;
+
+        StuckStream(CountDownLatch never) {
+            mNever = never;
+        }
+
+        @Override
+        public void write(int b) throws IOException {
+            try {
+                mNever.await();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+        }
+    }
+}
