--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -63,6 +63,9 @@
 
     private static final long LONGEST_WAIT_NANOS = 1_500_000_000L;
 
+    /** A silent send that none may follow is looked at again after this time. */
+    private static final long MORE_TIME_NANOS = 300_000_000L;
+
     /** Checks follow each other after this time at least. */
     private static final long LEAST_CHECK_NANOS = 10_000_000L;
 
@@ -288,7 +291,7 @@
                 .backup()
                 .flatMap(b -> mGateway.load(b))
                 .filter(l -> l.isFit(now) && l.version(mHead.prompt().get()) == send.mVersion)
-                .filter(l -> mBudget.tryRetry(now, mGateway.instances()))
+                .filter(l -> payRetry(now))
                 .map(UpstreamChooser.Choice::of);
     }
 
@@ -300,10 +303,15 @@
 
     /** Nothing reached an upstream that could not be connected, which so costs no budget. */
     private boolean mayPlaceAgain(SendFailure failure, long now) {
-        boolean paid = mRetryPaid || failure == SendFailure.NOT_CONNECTED;
-        mRetryPaid = false;
         return RetryRule.mayPlaceAgain(mRoute, failure, mRuns, mRejections, mDeadline - now)
-                && (paid || mBudget.tryRetry(now, mGateway.instances()));
+                && (failure == SendFailure.NOT_CONNECTED || payRetry(now));
+    }
+
+    /** Draws on the retry budget, unless that was done already for the next send. */
+    private boolean payRetry(long now) {
+        boolean paid = mRetryPaid || mBudget.tryRetry(now, mGateway.instances());
+        mRetryPaid = false;
+        return paid;
     }
 
     private void noteFailure(OpenSend send, SendFailure failure, long now) {
@@ -357,13 +365,23 @@
             return;
         }
         if (mSend != null && mSend.isSilent(now)) {
-            onSendFailed(mSend, SendFailure.SILENT, "no answer");
+            onSilent(mSend, now);
         }
         if (!mDone) {
             armTimer(Math.max(nextCheck(), now + LEAST_CHECK_NANOS));
         }
     }
 
+    /** A send is given up for its silence only if another one may follow. */
+    private void onSilent(OpenSend send, long now) {
+        if (mBudget.tryRetry(now, mGateway.instances())) {
+            mRetryPaid = true;
+            onSendFailed(send, SendFailure.SILENT, "no answer");
+        } else {
+            send.giveTime(now);
+        }
+    }
+
     private long nextCheck() {
         if (mSend == null) {
             return mDeadline;
@@ -454,6 +472,7 @@
 
         private long mStartedAt;
         private long mHeardAt;
+        private long mGivenUntil;
         private UpstreamConnection mConnection;
         private boolean mSent;
         private boolean mPrefilled;
@@ -474,6 +493,7 @@
         void start(long now) {
             mStartedAt = now;
             mHeardAt = now;
+            mGivenUntil = now;
             mSends++;
             mChoice.load().sent(mChoice.uncachedTokens());
             mGateway.log()
@@ -736,8 +756,16 @@
             return silentAt() - now <= 0;
         }
 
+        void giveTime(long now) {
+            mGivenUntil = now + MORE_TIME_NANOS;
+        }
+
         /** When the upstream has been silent for too long, the deadline if it can not be. */
         long silentAt() {
+            return Math.max(mGivenUntil, usuallySilentAt());
+        }
+
+        private long usuallySilentAt() {
             boolean copied = mBacksUp && mStreaming && !mContinuesCopy;
             boolean mayMove = mRoute.mayRunAgain() && mRuns + 1 < mRoute.attempts();
             if (!mSent || !(copied || mayMove)) {
