--- a/gateway/src/main/java/org/catkinproxy/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/GatewayEvent.java
@@ -5,7 +5,7 @@
 /**
  * Every event that the gateway logs, with its number.
  *
- * <p>Numbers are never used again for another event. docs/EVENTS.md is the catalogue. Immutable.
+ * <p>Numbers are never used again for another event. docs/GATEWAY.md is the catalogue. Immutable.
  */
 public enum GatewayEvent {
     STARTED(1101),
--- a/gateway/src/test/java/org/catkinproxy/gateway/EventCatalogueTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/EventCatalogueTest.java
@@ -12,7 +12,7 @@
 class EventCatalogueTest {
     @Example
     void everyEventStandsInTheCatalogue() throws IOException {
-        String page = Files.readString(Path.of("../docs/EVENTS.md"));
+        String page = Files.readString(Path.of("../docs/GATEWAY.md"));
         for (GatewayEvent event : GatewayEvent.values()) {
             assertThat(page).contains("| " + event.number() + " | `" + event.wire() + "` |");
         }
