Say ready only once upstreams are known, and send the first heartbeat then

Cause: Gateway.isReady asked for the configuration only, so that an instance whose list of upstreams was not read yet took callers and refused them with 503; its first heartbeat, written before anything was read, said not ready for two seconds. Ruled out: a short wait before the probe answers, which would guess.

--- a/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
@@ -96,6 +96,7 @@
         mConfig = Optional.of(config);
         mGateway.configChanged(config);
         mGateway.log().record(GatewayEvent.CONFIG_IN_FORCE, "version", config.version());
+        mGateway.learned();
     }
 
     private void takeVersion(RowReader.NamedVersion named) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -287,8 +287,16 @@
         return System.nanoTime();
     }
 
+    /** Tells whether callers may come: without configuration or upstreams all would be refused. */
     boolean isReady() {
-        return mConfig.config().isPresent() && !isStopping();
+        return mConfig.config().isPresent() && mUpstreams.isKnown() && !isStopping();
+    }
+
+    /** Tells the other instances of this one as soon as it is ready. */
+    void learned() {
+        if (isReady()) {
+            mMembers.join();
+        }
     }
 
     boolean isStopping() {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Members.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Members.java
@@ -19,9 +19,9 @@
 /**
  * The instances that serve callers, as their heartbeats in the store tell.
  *
- * <p>Each instance writes a row of its own at intervals. An instance whose row stays the same for
- * the time to live, while the store answers, is taken as gone. While the store does not answer,
- * what was known last holds. Used by the event loop only.
+ * <p>Each instance writes a row of its own at intervals, from when it is first ready. An instance
+ * whose row stays the same for the time to live, while the store answers, is taken as gone. While
+ * the store does not answer, what was known last holds. Used by the event loop only.
  */
 final class Members {
     private static final String TABLE = "members";
@@ -39,6 +39,7 @@
     private final ObjectMapper mJson = new ObjectMapper();
     private final Map<String, Member> mMembers = new HashMap<>();
     private long mBeat;
+    private boolean mJoined;
     private List<String> mLogged = List.of();
 
     /** One instance's row, and since when it has been the same. */
@@ -53,10 +54,17 @@
     }
 
     void start() {
-        heartbeat();
         look();
     }
 
+    /** Begins this instance's heartbeats, unless they have begun. */
+    void join() {
+        if (!mJoined) {
+            mJoined = true;
+            heartbeat();
+        }
+    }
+
     /** Returns how many instances have a row, those included that are stopping or just gone. */
     int count() {
         return Math.max(1, mMembers.size());
--- a/gateway/src/main/java/org/catkinproxy/gateway/Upstreams.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Upstreams.java
@@ -29,11 +29,17 @@
     private final UpstreamListing mListing = UpstreamListing.create(RETURN_GRACE_NANOS);
     private final Map<ServiceId, Map<InstanceId, UpstreamLoad>> mLoads = new HashMap<>();
     private boolean mConnected;
+    private boolean mKnown;
 
     Upstreams(Gateway gateway) {
         mGateway = gateway;
     }
 
+    /** Tells whether the list was read since the start. */
+    boolean isKnown() {
+        return mKnown;
+    }
+
     /** Returns what is believed of the upstreams of a service. */
     Collection<UpstreamLoad> loads(ServiceId service) {
         return mLoads.getOrDefault(service, Map.of()).values();
@@ -78,7 +84,9 @@
         List<Upstream> upstreams = new ArrayList<>();
         rows.forEach(r -> read(r).ifPresent(upstreams::add));
         mListing.replaceAll(upstreams, mGateway.now());
+        mKnown = true;
         refresh();
+        mGateway.learned();
     }
 
     @Override
