--- a/core/src/main/java/org/catkinproxy/serving/CachedPrompts.java
+++ b/core/src/main/java/org/catkinproxy/serving/CachedPrompts.java
@@ -25,7 +25,11 @@
 
     /** Takes that the engine now stores {@code tokens} tokens of a part, perhaps none. */
     public void told(String scope, long part, int tokens) {
-        long key = Prompt.key(scope, part);
+        told(Prompt.key(scope, part), tokens);
+    }
+
+    /** Takes that the engine now stores {@code tokens} tokens of the part with {@code key}. */
+    public void told(long key, int tokens) {
         mExpected.remove(key);
         if (tokens <= 0) {
             mTold.remove(key);
@@ -50,6 +54,11 @@
         mExpected.clear();
     }
 
+    /** Returns what was told of each part's key. */
+    public Map<Long, Integer> allTold() {
+        return Map.copyOf(mTold);
+    }
+
     /** Returns how many leading tokens of a prompt with these keys are cached. */
     public int tokens(Prompt prompt, long[] keys, long now) {
         int tokens = 0;
--- a/core/src/main/java/org/catkinproxy/serving/EngineLimits.java
+++ b/core/src/main/java/org/catkinproxy/serving/EngineLimits.java
@@ -10,12 +10,14 @@
  * @param slots the requests that it runs at once
  * @param cacheTokens the tokens that its memory holds, running and cached
  * @param fetchNanosPerToken how long it takes to copy a token's memory from another engine
+ * @param followers how many calls for its cache's events it holds at a time
  */
-public record EngineLimits(int slots, long cacheTokens, double fetchNanosPerToken) {
+public record EngineLimits(int slots, long cacheTokens, double fetchNanosPerToken, int followers) {
     /** Checks the figures. */
     public EngineLimits {
         checkArgument(slots > 0, "slots is not positive: %s", slots);
         checkArgument(cacheTokens > 0, "cacheTokens is not positive: %s", cacheTokens);
+        checkArgument(followers > 0, "followers: %s", followers);
         checkArgument(fetchNanosPerToken >= 0, "fetchNanosPerToken: %s", fetchNanosPerToken);
     }
 }
--- a/core/src/main/java/org/catkinproxy/serving/Prompt.java
+++ b/core/src/main/java/org/catkinproxy/serving/Prompt.java
@@ -51,7 +51,7 @@
     }
 
     /** Returns the key of one part within a scope. */
-    static long key(String scope, long part) {
+    public static long key(String scope, long part) {
         return mix(part * SPREAD_FACTOR ^ mix(scope.hashCode()));
     }
 
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/serving/PromptStore.java
@@ -0,0 +1,22 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.net.HostAndPort;
+
+/**
+ * A store beside the engines where these can keep prompts for each other.
+ *
+ * <p>Immutable, and so safe for use by any thread.
+ *
+ * @param address where engines reach it
+ * @param followers how many calls for its events it holds at a time
+ */
+public record PromptStore(HostAndPort address, int followers) {
+    /** Checks the figures. */
+    public PromptStore {
+        checkNotNull(address, "address");
+        checkArgument(followers > 0, "followers: %s", followers);
+    }
+}
--- a/core/src/main/java/org/catkinproxy/serving/ServingConfig.java
+++ b/core/src/main/java/org/catkinproxy/serving/ServingConfig.java
@@ -2,10 +2,9 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.net.HostAndPort;
-
 import org.catkinproxy.id.ServiceId;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -19,7 +18,7 @@
  * @param services the services by id
  * @param limits what callers may send
  * @param keys the access of each key; empty if no keys are needed
- * @param keptPrompts where engines can keep prompts for each other, empty for nowhere
+ * @param promptStores where engines can keep prompts for each other
  */
 public record ServingConfig(
         long version,
@@ -27,13 +26,14 @@
         Map<ServiceId, UpstreamService> services,
         RequestLimits limits,
         Map<String, WorkspaceAccess> keys,
-        Optional<HostAndPort> keptPrompts) {
+        List<PromptStore> promptStores) {
     /** Checks that all parts are there. */
     public ServingConfig {
         checkNotNull(routes, "routes");
         checkNotNull(limits, "limits");
         services = Map.copyOf(services);
         keys = Map.copyOf(keys);
+        promptStores = List.copyOf(promptStores);
     }
 
     /** Tells whether requests of routes that are not public need a key. */
--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -5,8 +5,11 @@
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.ModelId;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -22,8 +25,9 @@
  * the shared parts, rendezvous hashing names one that goes first, so that instances which do not
  * know of each other's requests send equal prompts to the same engine. Answers the load patterns of
  * one hot prompt (its cost at the home engine grows until another is cheaper), of upstreams of
- * unequal speed, and of upstreams that fail while they are listed. Not safe for use by several
- * threads.
+ * unequal speed, of upstreams that fail while they are listed, and of many instances that see the
+ * same late figures of the others (each considers only some upstreams, chosen at random). Not safe
+ * for use by several threads.
  */
 public final class UpstreamChooser {
     /** Time that an ordinary engine computes a prompt token. */
@@ -52,7 +56,17 @@
     /** Costs that differ by less are taken as equal, so that ties spread. */
     private static final double JITTER = 0.2;
 
+    /** With more peers than this, all that see the same figures would choose the same upstream. */
+    private static final int FEW_PEERS = 10;
+
+    /** Of how many engines a request's are chosen where there are many peers. */
+    private static final int RANDOM_ENGINES = 4;
+
+    /** Of how many upstreams of a plain service. */
+    private static final int RANDOM_UPSTREAMS = 2;
+
     private final RandomGenerator mRandom;
+    private final PeerLoads mPeers;
 
     /**
      * The chosen upstream.
@@ -103,13 +117,18 @@
         }
     }
 
-    private UpstreamChooser(RandomGenerator random) {
+    private UpstreamChooser(RandomGenerator random, PeerLoads peers) {
         mRandom = random;
+        mPeers = peers;
     }
 
-    /** Returns a chooser that breaks ties by {@code random}. */
-    public static UpstreamChooser of(RandomGenerator random) {
-        return new UpstreamChooser(random);
+    /**
+     * Returns a chooser that breaks ties by {@code random}.
+     *
+     * @param peers what the other instances have open, kept up to date by the owner
+     */
+    public static UpstreamChooser of(RandomGenerator random, PeerLoads peers) {
+        return new UpstreamChooser(random, peers);
     }
 
     /** Returns the upstream of a plain service for a request, empty if none may have it. */
@@ -117,8 +136,8 @@
             Collection<UpstreamLoad> loads, Set<InstanceId> excluded, long now) {
         UpstreamLoad best = null;
         double least = Double.MAX_VALUE;
-        for (UpstreamLoad load : usable(loads, excluded, now)) {
-            double cost = load.slowness() * (1 + load.inFlight()) * jitter();
+        for (UpstreamLoad load : sample(usable(loads, excluded, now), RANDOM_UPSTREAMS)) {
+            double cost = load.slowness() * (1 + requests(load)) * jitter();
             cost *= 1 + ERROR_WEIGHT * load.errorShare(now);
             if (cost < least) {
                 least = cost;
@@ -138,7 +157,7 @@
         Candidate home = home(candidates, placed.prompt());
         Choice best = null;
         double least = Double.MAX_VALUE;
-        for (Candidate candidate : candidates) {
+        for (Candidate candidate : contenders(candidates, home)) {
             Choice choice = choice(candidate, candidates, placed, now);
             double cost = cost(choice, candidate, placed, now);
             if (candidate == home) {
@@ -152,15 +171,51 @@
         return Optional.ofNullable(best).map(c -> withCopies(c, candidates, placed, now));
     }
 
+    /** The engine that has most of the prompt, and some others where there are many peers. */
+    private Collection<Candidate> contenders(List<Candidate> candidates, Candidate home) {
+        if (mPeers.peers() <= FEW_PEERS) {
+            return candidates;
+        }
+        Set<Candidate> contenders = new LinkedHashSet<>(sample(candidates, RANDOM_ENGINES));
+        candidates.stream()
+                .filter(c -> c.mCached > 0)
+                .max(Comparator.comparingLong(c -> c.mCached))
+                .ifPresent(contenders::add);
+        if (home != null) {
+            contenders.add(home);
+        }
+        return contenders;
+    }
+
+    /** Some of them where there are many peers, else all. */
+    private <T> List<T> sample(List<T> all, int count) {
+        if (mPeers.peers() <= FEW_PEERS || all.size() <= count) {
+            return all;
+        }
+        List<T> rest = new ArrayList<>(all);
+        for (int i = 0; i < count; i++) {
+            Collections.swap(rest, i, i + mRandom.nextInt(rest.size() - i));
+        }
+        return rest.subList(0, count);
+    }
+
+    private int requests(UpstreamLoad load) {
+        return load.inFlight() + mPeers.at(load.upstream().id()).requests();
+    }
+
+    private long pendingTokens(UpstreamLoad load) {
+        return load.pendingTokens() + mPeers.at(load.upstream().id()).pendingTokens();
+    }
+
     /** Adds the least busy other engine with the same weights, and where to keep the prompt. */
-    private static Choice withCopies(
+    private Choice withCopies(
             Choice choice, List<Candidate> candidates, PlacedPrompt placed, long now) {
         Candidate chosen =
                 candidates.stream().filter(c -> c.mLoad == choice.load()).findFirst().orElseThrow();
         Optional<Upstream> backup =
                 candidates.stream()
                         .filter(c -> c != chosen && c.mVersion == chosen.mVersion)
-                        .min(Comparator.comparingInt(c -> c.mLoad.inFlight()))
+                        .min(Comparator.comparingInt(c -> requests(c.mLoad)))
                         .map(c -> c.mLoad.upstream());
         Optional<HostAndPort> keepAt =
                 placed.kept()
@@ -195,8 +250,7 @@
                 : usable;
     }
 
-    private static Choice choice(
-            Candidate candidate, List<Candidate> all, PlacedPrompt placed, long now) {
+    private Choice choice(Candidate candidate, List<Candidate> all, PlacedPrompt placed, long now) {
         long cached = candidate.mCached;
         Optional<Source> source = source(candidate, cached, all, placed, now);
         long fetched = source.map(Source::tokens).orElse(cached) - cached;
@@ -205,7 +259,7 @@
                 FIRST_TOKEN_NANOS
                         + uncached * NANOS_PER_TOKEN
                         + fetched * placed.fetchNanosPerToken() * FETCH_SHARE_ACROSS
-                        + candidate.mLoad.pendingTokens() * NANOS_PER_TOKEN;
+                        + pendingTokens(candidate.mLoad) * NANOS_PER_TOKEN;
         return new Choice(
                 candidate.mLoad,
                 source.map(Source::address),
@@ -215,9 +269,9 @@
                 expected);
     }
 
-    private static double cost(Choice choice, Candidate candidate, PlacedPrompt placed, long now) {
+    private double cost(Choice choice, Candidate candidate, PlacedPrompt placed, long now) {
         UpstreamLoad load = candidate.mLoad;
-        double cost = load.slowness() * (choice.expectedNanos() + load.inFlight() * NANOS_PER_RUN);
+        double cost = load.slowness() * (choice.expectedNanos() + requests(load) * NANOS_PER_RUN);
         cost *= 1 + ERROR_WEIGHT * load.errorShare(now);
         return cost + (candidate.mVersion < placed.newestVersion() ? OLD_WEIGHTS_NANOS : 0);
     }
--- a/core/src/main/java/org/catkinproxy/serving/UpstreamListing.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamListing.java
@@ -50,6 +50,12 @@
         mLostBefore = true;
     }
 
+    /** Notes that the store does not answer others, so that entries may lapse. */
+    public void wasAway(long now) {
+        mLostBefore = true;
+        mConnectedAt = now;
+    }
+
     /** Takes an entry as it stands. */
     public void put(Upstream upstream) {
         mLapsed.remove(upstream.id());
--- a/core/src/test/java/org/catkinproxy/serving/UpstreamChooserTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/UpstreamChooserTest.java
@@ -20,7 +20,8 @@
 class UpstreamChooserTest {
     private static final double FETCH_NANOS = 7_000;
 
-    private final UpstreamChooser mChooser = UpstreamChooser.of(new SplittableRandom(1));
+    private final PeerLoads mPeers = PeerLoads.of(10 * Samples.SECOND);
+    private final UpstreamChooser mChooser = UpstreamChooser.of(new SplittableRandom(1), mPeers);
     private final NamedVersions mVersions = NamedVersions.of(10 * Samples.SECOND);
 
     private Optional<KeptPrompts> mKept = Optional.empty();
@@ -72,6 +73,49 @@
         assertThat(choice.uncachedTokens()).isEqualTo(200);
     }
 
+    @Example
+    void whatPeersHaveOpenCountsLikeTheOwnRequests() {
+        List<UpstreamLoad> loads = engines(2);
+        Prompt prompt = Samples.prompt(200);
+        InstanceId busy = choose(loads, prompt).orElseThrow().load().upstream().id();
+        mPeers.told(InstanceId.of("peer"), Map.of(busy, new PeerLoads.Share(9, 30_000)), 0);
+
+        assertThat(choose(loads, prompt).orElseThrow().load().upstream().id()).isNotEqualTo(busy);
+    }
+
+    /** Sixty instances that see the same late figures do not all choose the least busy engine. */
+    @Example
+    void manyInstancesDoNotHerdOnTheLeastBusyEngine() {
+        List<UpstreamLoad> loads = engines(40);
+        Map<InstanceId, PeerLoads.Share> busy = new HashMap<>();
+        loads.stream()
+                .skip(1)
+                .forEach(l -> busy.put(l.upstream().id(), new PeerLoads.Share(5, 4_000)));
+        for (int i = 0; i < 60; i++) {
+            mPeers.told(InstanceId.of("peer-" + i), i == 0 ? busy : Map.of(), 0);
+        }
+
+        Map<InstanceId, Integer> chosen = new HashMap<>();
+        for (int i = 0; i < 60; i++) {
+            Prompt own = Samples.prompt(800);
+            chosen.merge(choose(loads, own).orElseThrow().load().upstream().id(), 1, Integer::sum);
+        }
+        assertThat(chosen.values().stream().mapToInt(Integer::intValue).max().getAsInt())
+                .isLessThan(60 / 4);
+    }
+
+    @Example
+    void manyInstancesStillFindTheEngineThatHasThePrompt() {
+        List<UpstreamLoad> loads = engines(40);
+        Prompt prompt = Samples.prompt(2_000, 4_000, 1_000);
+        cache(loads.get(17), prompt, 2);
+        for (int i = 0; i < 60; i++) {
+            mPeers.told(InstanceId.of("peer-" + i), Map.of(), 0);
+        }
+
+        assertThat(choose(loads, prompt).orElseThrow().load()).isSameInstanceAs(loads.get(17));
+    }
+
     @Example
     void nothingIsCopiedFromAnEngineWithOtherWeights() {
         List<UpstreamLoad> loads = engines(1);
@@ -111,7 +155,9 @@
         List<UpstreamLoad> loads = engines(3);
         Prompt prompt = Samples.prompt(2_000, 4_000, 1_000);
         KeptPrompts kept =
-                new KeptPrompts(HostAndPort.fromParts("10.0.0.9", 80), new CachedPrompts());
+                new KeptPrompts(
+                        new PromptStore(HostAndPort.fromParts("10.0.0.9", 80), 8),
+                        new CachedPrompts());
         mKept = Optional.of(kept);
         assertThat(choose(loads, prompt).orElseThrow().keepAt()).hasValue(kept.address());
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/CacheFollower.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CacheFollower.java
@@ -3,7 +3,10 @@
 import com.google.common.net.HostAndPort;
 
 import org.catkinproxy.serving.CachedPrompts;
+import org.catkinproxy.serving.Prompt;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -21,20 +24,33 @@
     private final EngineControl mControl;
     private final HostAndPort mAddress;
     private final CachedPrompts mCached;
+    private final Listener mListener;
     private final BooleanSupplier mWanted;
     private String mEpoch = "";
     private long mNext;
 
+    /** Learns what the cache said, after it was noted. */
+    interface Listener {
+        /**
+         * Takes the tokens that are stored now of parts, by their keys.
+         *
+         * @param fresh whether what was known before does not hold
+         */
+        void changed(Map<Long, Integer> parts, boolean fresh);
+    }
+
     private CacheFollower(
             Gateway gateway,
             EngineControl control,
             HostAndPort address,
             CachedPrompts cached,
+            Listener listener,
             BooleanSupplier wanted) {
         mGateway = gateway;
         mControl = control;
         mAddress = address;
         mCached = cached;
+        mListener = listener;
         mWanted = wanted;
     }
 
@@ -44,8 +60,9 @@
             EngineControl control,
             HostAndPort address,
             CachedPrompts cached,
+            Listener listener,
             BooleanSupplier wanted) {
-        new CacheFollower(gateway, control, address, cached, wanted).ask();
+        new CacheFollower(gateway, control, address, cached, listener, wanted).ask();
     }
 
     private void ask() {
@@ -63,12 +80,16 @@
     }
 
     private void take(EngineControl.CacheChanges changes) {
-        if (changes.lost() || !changes.epoch().equals(mEpoch)) {
+        boolean fresh = changes.lost() || !changes.epoch().equals(mEpoch);
+        if (fresh) {
             mCached.forget();
         }
         mEpoch = changes.epoch();
         mNext = changes.next();
-        changes.changes().forEach(c -> mCached.told(c.scope(), c.part(), c.tokens()));
+        Map<Long, Integer> parts = new HashMap<>();
+        changes.changes().forEach(c -> parts.put(Prompt.key(c.scope(), c.part()), c.tokens()));
+        parts.forEach(mCached::told);
+        mListener.changed(parts, fresh);
         mGateway.loop().execute(this::ask);
     }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
@@ -58,6 +58,19 @@
         }
     }
 
+    @Override
+    public void onBehind(long known, long told) {
+        mGateway.log()
+                .record(
+                        GatewayEvent.STORE_BEHIND,
+                        "table",
+                        "operators",
+                        "known",
+                        known,
+                        "told",
+                        told);
+    }
+
     @Override
     public void onDisconnected(CatkinException reason) {
         if (mConnected) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -150,7 +150,7 @@
         double fetch =
                 mGateway.engineLimits(mService).map(EngineLimits::fetchNanosPerToken).orElse(0.0);
         return new UpstreamChooser.PlacedPrompt(
-                prompt, scope, mGateway.versions(), fetch, mGateway.keptPrompts());
+                prompt, scope, mGateway.versions(), fetch, mGateway.keptPrompts(prompt));
     }
 
     /** Begins. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -5,8 +5,12 @@
 import org.catkinproxy.serving.CachedPrompts;
 import org.catkinproxy.serving.CallKind;
 import org.catkinproxy.serving.EngineLimits;
+import org.catkinproxy.serving.FleetPace;
 import org.catkinproxy.serving.KeptPrompts;
 import org.catkinproxy.serving.NamedVersions;
+import org.catkinproxy.serving.PeerLoads;
+import org.catkinproxy.serving.Prompt;
+import org.catkinproxy.serving.PromptStore;
 import org.catkinproxy.serving.RequestLimits;
 import org.catkinproxy.serving.ServingConfig;
 import org.catkinproxy.serving.SharedRetryBudget;
@@ -30,6 +34,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -39,6 +44,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * One gateway process: its listeners, its connections and what it knows.
@@ -46,13 +52,14 @@
  * <p>Everything belongs to one event loop and may only be used on it.
  */
 public final class Gateway {
-    /**
-     * How long a question for changes of the lists waits; a silent connection is found soon after.
-     */
-    private static final Duration LIST_WAIT = Duration.ofMillis(2_000);
+    /** For each instance, changes of upstreams are put together for so long. */
+    private static final Duration UPSTREAM_PAUSE = Duration.ofMillis(12);
 
-    /** News of rollouts are hints, so that a silent connection may be found late. */
-    private static final Duration NEWS_WAIT = Duration.ofSeconds(8);
+    /** What a peer told of its requests holds for so long. */
+    private static final long PEER_NEWS_NANOS = 2_500_000_000L;
+
+    /** Followers that an engine takes while its service is not configured. */
+    private static final int UNKNOWN_FOLLOWERS = 8;
 
     private static final long SWEEP_MILLIS = 250;
     private static final long LEAST_RETRY_AFTER_MILLIS = 150;
@@ -64,22 +71,25 @@
     private final DirectoryDialect mDirectory;
     private final RowReader mRows;
     private final TableStore mStore;
-    private final EngineControl mEngines;
     private final EventLog mLog;
     private final GatewayMetrics mMetrics = new GatewayMetrics();
     private final SplittableRandom mRandom = new SplittableRandom();
-    private final UpstreamChooser mChooser = UpstreamChooser.of(mRandom);
+    private final PeerLoads mPeerLoads = PeerLoads.of(PEER_NEWS_NANOS);
+    private final UpstreamChooser mChooser = UpstreamChooser.of(mRandom, mPeerLoads);
     private final UpstreamPool mPool;
     private final Upstreams mUpstreams = new Upstreams(this);
     private final ConfigFollower mConfig;
     private final Members mMembers;
+    private final PeerLink mPeers;
+    private final CacheKnowledge mCaches;
     private final RolloutNews mNews;
     private final RolloutTask mRollout;
     private final StopSequence mStop;
     private final Map<ServiceId, SharedRetryBudget> mBudgets = new HashMap<>();
+    private final List<TableWatch> mWatches = new ArrayList<>();
     private final Set<FrontConnection> mConnections = new HashSet<>();
     private final Set<Exchange> mExchanges = new HashSet<>();
-    private Optional<KeptPrompts> mKept = Optional.empty();
+    private final Map<PromptStore, KeptPrompts> mKept = new HashMap<>();
     private Channel mFrontListener;
 
     private Gateway(
@@ -97,14 +107,14 @@
         mDirectory = directory;
         mRows = rows;
         mStore = store;
-        mEngines = engines;
         mLog = log;
         mConfig = new ConfigFollower(this, settings.oldWeightsAllowed());
         mPool = new UpstreamPool(loop, dialect);
-        String address = text(settings.front());
-        mMembers = new Members(this, store, settings.instance(), address);
+        mMembers = new Members(this, store);
+        mPeers = new PeerLink(this, settings.peers());
+        mCaches = new CacheKnowledge(this, engines, settings.instance());
         String session = Long.toHexString(mRandom.nextLong());
-        mNews = new RolloutNews(this, store);
+        mNews = new RolloutNews(this, settings.instance());
         mRollout =
                 new RolloutTask(
                         this,
@@ -136,10 +146,11 @@
         mSettings.probe().ifPresent(a -> serveSmall(a, "probe"));
         mSettings.directory().ifPresent(a -> serveSmall(a, "directory"));
         serveSmall(mSettings.metrics(), "metrics");
-        TableWatch.start(mLoop, mStore, mRows.operatorTable(), mConfig, LIST_WAIT);
-        TableWatch.start(mLoop, mStore, mRows.upstreamTable(), mUpstreams, LIST_WAIT);
-        TableWatch.start(mLoop, mStore, RolloutNews.TABLE, mNews, NEWS_WAIT);
+        logFailure(mPeers.start(), "peers");
         mMembers.start();
+        mCaches.start();
+        watch(mRows.operatorTable(), mConfig, Duration.ZERO);
+        watch(mRows.upstreamTable(), mUpstreams, UPSTREAM_PAUSE);
         mLoop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         mLog.record(
                 GatewayEvent.STARTED,
@@ -150,6 +161,38 @@
         mLog.flush();
     }
 
+    private void watch(String table, TableWatch.Listener listener, Duration pause) {
+        TableWatch.Pace pace =
+                new TableWatch.Pace() {
+                    @Override
+                    public Duration longestWait() {
+                        return FleetPace.wait(instances(), mRandom);
+                    }
+
+                    @Override
+                    public Duration pauseAfterChanges() {
+                        return FleetPace.pause(pause, instances());
+                    }
+                };
+        mWatches.add(TableWatch.start(mLoop, mStore, table, listener, pace));
+    }
+
+    /** Returns up to which change each table is known. */
+    Map<String, Long> tableVersions() {
+        return mWatches.stream()
+                .collect(Collectors.toMap(TableWatch::table, TableWatch::newestRow));
+    }
+
+    /** Takes that another instance knows of a change of a table. */
+    void tableToldOf(String table, long version) {
+        mWatches.stream().filter(w -> w.table().equals(table)).forEach(w -> w.toldOf(version));
+    }
+
+    /** Takes that the store does not answer another instance. */
+    void storeToldAway() {
+        mUpstreams.storeToldAway();
+    }
+
     private void serveSmall(InetSocketAddress address, String name) {
         logFailure(SmallServer.listen(mLoop, address, this::answer), name);
     }
@@ -199,6 +242,8 @@
         List.copyOf(mConnections).forEach(c -> c.closeIfOverdue(now));
         mPool.expire();
         mUpstreams.expire();
+        mPeerLoads.expire(now);
+        mMembers.expire();
         mRollout.wake();
         mLog.flush();
     }
@@ -304,7 +349,7 @@
     }
 
     boolean storeAnswers() {
-        return mConfig.isConnected();
+        return mConfig.isConnected() && mUpstreams.isConnected();
     }
 
     int instances() {
@@ -351,35 +396,32 @@
     }
 
     void followCache(UpstreamLoad load) {
-        mLoop.execute(
-                () ->
-                        CacheFollower.start(
-                                this,
-                                mEngines,
-                                load.upstream().address(),
-                                load.cached(),
-                                () -> isCurrent(load)));
+        int followers =
+                engineLimits(load.upstream().service())
+                        .map(EngineLimits::followers)
+                        .orElse(UNKNOWN_FOLLOWERS);
+        mCaches.keep(load.upstream().address(), load.cached(), followers, () -> isCurrent(load));
     }
 
-    /** Returns the store of kept prompts that the configuration names, empty if it names none. */
-    Optional<KeptPrompts> keptPrompts() {
-        return mKept;
+    /** Returns the store that is to keep a prompt, empty if there is none. */
+    Optional<KeptPrompts> keptPrompts(Prompt prompt) {
+        return KeptPrompts.of(mKept.values(), prompt);
     }
 
-    /** Follows the store of kept prompts that a new configuration names. */
+    /** Follows the stores of prompts that a new configuration names. */
     void configChanged(ServingConfig config) {
-        if (config.keptPrompts().equals(mKept.map(KeptPrompts::address))) {
-            return;
+        mKept.keySet().retainAll(config.promptStores());
+        for (PromptStore store : config.promptStores()) {
+            if (!mKept.containsKey(store)) {
+                KeptPrompts kept = new KeptPrompts(store, new CachedPrompts());
+                mKept.put(store, kept);
+                mCaches.keep(
+                        store.address(),
+                        kept.cached(),
+                        store.followers(),
+                        () -> mKept.get(store) == kept);
+            }
         }
-        mKept = config.keptPrompts().map(a -> new KeptPrompts(a, new CachedPrompts()));
-        mKept.ifPresent(
-                k ->
-                        CacheFollower.start(
-                                this,
-                                mEngines,
-                                k.address(),
-                                k.cached(),
-                                () -> mKept.filter(k::equals).isPresent()));
     }
 
     /** Returns what the engines of a service can hold, empty if they are not known. */
@@ -399,6 +441,35 @@
                                 mSettings.retryWindow().toNanos()));
     }
 
+    List<UpstreamLoad> allLoads() {
+        return mUpstreams.all();
+    }
+
+    PeerLoads peerLoads() {
+        return mPeerLoads;
+    }
+
+    PeerLink peers() {
+        return mPeers;
+    }
+
+    CacheKnowledge caches() {
+        return mCaches;
+    }
+
+    RolloutNews rolloutNews() {
+        return mNews;
+    }
+
+    /** Passes on that other instances came or went. */
+    void membersChanged() {
+        mCaches.membersChanged();
+    }
+
+    GatewaySettings settings() {
+        return mSettings;
+    }
+
     UpstreamChooser chooser() {
         return mChooser;
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/GatewayMetrics.java
@@ -53,6 +53,11 @@
                     .register(mRegistry);
             Gauge.builder("catkinproxy.gateway.instances", gateway, Gateway::instances)
                     .register(mRegistry);
+            Gauge.builder(
+                            "catkinproxy.gateway.peer.requests",
+                            gateway,
+                            g -> g.peerLoads().requests())
+                    .register(mRegistry);
             counter(
                     "catkinproxy.gateway.log.dropped",
                     Tags.empty(),
--- a/gateway/src/main/java/org/catkinproxy/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/GatewaySettings.java
@@ -20,6 +20,7 @@
  * @param probe where the platform asks whether it is ready, empty if it does not
  * @param directory where callers ask which instances to use, empty if it serves none
  * @param metrics where metrics are served
+ * @param peers where the instance takes news of the others
  * @param capacity the share of a processor that the process has
  * @param retryRatio second sends allowed for each request of a service
  * @param retryExtra second sends allowed beside these, in a window, by all instances together
@@ -36,6 +37,7 @@
         Optional<InetSocketAddress> probe,
         Optional<InetSocketAddress> directory,
         InetSocketAddress metrics,
+        InetSocketAddress peers,
         double capacity,
         double retryRatio,
         double retryExtra,
@@ -52,5 +54,6 @@
         checkNotNull(probe, "probe");
         checkNotNull(directory, "directory");
         checkNotNull(metrics, "metrics");
+        checkNotNull(peers, "peers");
     }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/HttpCaller.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/HttpCaller.java
@@ -100,6 +100,7 @@
                                         .set(HttpHeaderNames.CONTENT_TYPE, "application/json");
                                 HttpUtil.setContentLength(request, b.length);
                             });
+                    emitter.setCancellable(call::cancel);
                     call.start(request);
                 });
     }
@@ -198,15 +199,26 @@
             }
         }
 
-        void fail(String reason) {
-            if (mDone) {
-                return;
+        /** Gives the call up, unless it has ended. */
+        void cancel() {
+            if (!mDone) {
+                end();
             }
+        }
+
+        private void end() {
             mDone = true;
             mTimer.cancel(false);
             if (mChannel != null) {
                 mChannel.close();
             }
+        }
+
+        void fail(String reason) {
+            if (mDone) {
+                return;
+            }
+            end();
             Outcome outcome = mSent ? Outcome.UNKNOWN : Outcome.NOT_RUN;
             mEmitter.tryOnError(
                     CatkinException.of(
--- a/gateway/src/main/java/org/catkinproxy/gateway/Members.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Members.java
@@ -2,167 +2,199 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
 
 import org.catkinproxy.id.InstanceId;
-
-import io.netty.channel.EventLoop;
+import org.catkinproxy.serving.PeerLoads;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
- * The instances that serve callers, as their heartbeats in the store tell.
+ * The instances that serve callers.
  *
- * <p>Each instance writes a row of its own at intervals, from when it is first ready. An instance
- * whose row stays the same for the time to live, while the store answers, is taken as gone. While
- * the store does not answer, what was known last holds. Used by the event loop only.
+ * <p>Each instance writes a row in the store once it is ready, by which the others find it. After
+ * that they hear its heartbeats, in datagrams; one that has not been heard of for the time to live
+ * is no longer named to callers. Used by the event loop only.
  */
 final class Members {
     private static final String TABLE = "members";
-    private static final long HEARTBEAT_MILLIS = 2_000;
-    private static final long TTL_NANOS = 5_500_000_000L;
+
+    /** Rows only say where instances are; what they do, their heartbeats tell. */
+    private static final long LEAST_LOOK_MILLIS = 2_000;
+
+    private static final long LOOK_MILLIS_PER_MEMBER = 100;
+    private static final long LONGEST_LOOK_MILLIS = 8_000;
+
+    /** A row that could not be written is written again after this time. */
+    private static final long WRITE_AGAIN_MILLIS = 1_000;
+
+    private static final long TTL_NANOS = 3_500_000_000L;
+
+    /** An instance that was heard of in this time may still have a part of the retry budget. */
+    private static final long COUNTED_NANOS = 12_000_000_000L;
 
     /** The row of an instance that has been gone for so long is removed. */
     private static final long REMOVE_NANOS = 60_000_000_000L;
 
     private final Gateway mGateway;
-    private final EventLoop mLoop;
     private final TableStore mStore;
     private final InstanceId mSelf;
-    private final String mAddress;
+    private final HostAndPort mFront;
+    private final HostAndPort mPeerAddress;
     private final ObjectMapper mJson = new ObjectMapper();
-    private final Map<String, Member> mMembers = new HashMap<>();
-    private long mBeat;
-    private boolean mJoined;
+    private final Map<InstanceId, Member> mMembers = new HashMap<>();
+    private Map<InstanceId, InetSocketAddress> mPeers = Map.of();
+    private Set<InstanceId> mServing = Set.of();
     private List<String> mLogged = List.of();
+    private boolean mJoined;
 
-    /** One instance's row, and since when it has been the same. */
-    private record Member(long version, String address, boolean ready, long since) {}
+    /**
+     * Another instance.
+     *
+     * @param front where callers connect
+     * @param peers where it takes datagrams
+     * @param ready whether it takes callers
+     * @param heardAt when it was heard of last, or when its row was first seen
+     */
+    private record Member(
+            HostAndPort front, InetSocketAddress peers, boolean ready, long heardAt) {}
 
-    Members(Gateway gateway, TableStore store, InstanceId self, String address) {
+    Members(Gateway gateway, TableStore store) {
+        GatewaySettings settings = gateway.settings();
         mGateway = gateway;
-        mLoop = gateway.loop();
         mStore = store;
-        mSelf = self;
-        mAddress = address;
+        mSelf = settings.instance();
+        mFront = text(settings.front());
+        mPeerAddress = text(settings.peers());
+    }
+
+    private static HostAndPort text(InetSocketAddress address) {
+        return HostAndPort.fromParts(address.getAddress().getHostAddress(), address.getPort());
     }
 
     void start() {
         look();
     }
 
-    /** Begins this instance's heartbeats, unless they have begun. */
+    /** Tells the others that this instance takes callers, unless they know. */
     void join() {
         if (!mJoined) {
             mJoined = true;
-            heartbeat();
+            write();
+            mGateway.peers().heartbeat();
         }
     }
 
-    /** Returns how many instances have a row, those included that are stopping or just gone. */
+    /** Tells the others that this instance takes no more callers. */
+    void leave() {
+        mGateway.peers().heartbeat();
+        if (mJoined) {
+            mStore.remove(TABLE, mSelf.value()).subscribe(v -> {}, this::writeFailed);
+        }
+    }
+
+    /** Returns how many instances there are, those included that are stopping or just gone. */
     int count() {
-        return Math.max(1, mMembers.size());
+        long now = mGateway.now();
+        return 1
+                + (int)
+                        mMembers.values().stream()
+                                .filter(m -> now - m.heardAt() < COUNTED_NANOS)
+                                .count();
     }
 
     /** Returns the addresses of the instances that take callers. */
     List<String> addresses() {
-        long now = mGateway.now();
         List<String> addresses = new ArrayList<>();
-        mMembers.forEach(
-                (id, member) -> {
-                    boolean alive = now - member.since() < TTL_NANOS || !mGateway.storeAnswers();
-                    if (member.ready() && alive && !id.equals(mSelf.value())) {
-                        addresses.add(member.address());
-                    }
-                });
+        mServing.forEach(id -> addresses.add(mMembers.get(id).front().toString()));
         if (mGateway.isReady()) {
-            addresses.add(mAddress);
+            addresses.add(mFront.toString());
         }
         return addresses;
     }
 
-    /** Tells the others that this instance takes no more callers. */
-    void leave() {
-        write(false);
+    /** Returns where the other instances take news, those included that are stopping. */
+    Map<InstanceId, InetSocketAddress> peers() {
+        return mPeers;
     }
 
-    private void heartbeat() {
-        if (mGateway.isStopping()) {
-            return;
-        }
-        write(mGateway.isReady());
-        mLoop.schedule(this::heartbeat, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void write(boolean ready) {
-        String row =
-                mJson.createObjectNode()
-                        .put("address", mAddress)
-                        .put("ready", ready)
-                        .put("beat", ++mBeat)
-                        .toString();
-        mStore.write(TABLE, mSelf.value(), row.getBytes(StandardCharsets.UTF_8))
-                .subscribe(
-                        v -> {},
-                        e ->
-                                mGateway.log()
-                                        .record(
-                                                GatewayEvent.STORE_WRITE_FAILED,
-                                                "row",
-                                                "member",
-                                                "reason",
-                                                e));
+    /** Returns the other instances that take callers. */
+    Set<InstanceId> serving() {
+        return mServing;
     }
 
-    private void look() {
-        mStore.read(TABLE)
-                .subscribe(
-                        this::take,
-                        e ->
-                                mGateway.log()
-                                        .record(
-                                                GatewayEvent.STORE_LOST,
-                                                "table",
-                                                TABLE,
-                                                "reason",
-                                                e));
-        mLoop.schedule(this::look, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+    /** Returns a heartbeat of this instance. */
+    PeerNews.Heartbeat heartbeat(
+            Map<InstanceId, PeerLoads.Share> shares, Map<String, Long> tables) {
+        return new PeerNews.Heartbeat(
+                mSelf,
+                mFront,
+                mPeerAddress,
+                mGateway.isReady(),
+                mGateway.storeAnswers(),
+                shares,
+                tables);
     }
 
-    private void take(TableStore.Rows rows) {
+    /**
+     * Takes a heartbeat.
+     *
+     * @return whether it came from the instance that it names
+     */
+    boolean told(PeerNews.Heartbeat heartbeat, InetSocketAddress sender) {
+        InetSocketAddress peers = socket(heartbeat.peers());
+        if (heartbeat.instance().equals(mSelf) || !peers.equals(sender)) {
+            return false;
+        }
+        mMembers.put(
+                heartbeat.instance(),
+                new Member(heartbeat.front(), peers, heartbeat.ready(), mGateway.now()));
+        boolean known = mPeers.containsKey(heartbeat.instance());
+        if (!known || heartbeat.ready() != mServing.contains(heartbeat.instance())) {
+            refresh();
+        }
+        return true;
+    }
+
+    /** Drops the instances that were not heard of for too long. */
+    void expire() {
         long now = mGateway.now();
-        Map<String, Member> members = new HashMap<>();
-        for (TableRow row : rows.rows()) {
-            Member known = mMembers.get(row.key());
-            if (known != null && known.version() == row.version()) {
-                members.put(row.key(), known);
-            } else {
-                read(row, now).ifPresent(m -> members.put(row.key(), m));
-            }
+        if (mPeers.keySet().stream().anyMatch(id -> !isAlive(mMembers.get(id), now))) {
+            refresh();
         }
-        mMembers.clear();
-        mMembers.putAll(members);
-        removeGone(now);
-        logChange();
     }
 
-    private void removeGone(long now) {
+    private static boolean isAlive(Member member, long now) {
+        return member != null && now - member.heardAt() < TTL_NANOS;
+    }
+
+    private void refresh() {
+        long now = mGateway.now();
+        Map<InstanceId, InetSocketAddress> peers = new HashMap<>();
+        Set<InstanceId> serving = new HashSet<>();
         mMembers.forEach(
                 (id, member) -> {
-                    if (now - member.since() > REMOVE_NANOS) {
-                        mStore.remove(TABLE, id).subscribe(v -> {}, this::writeFailed);
+                    if (isAlive(member, now)) {
+                        peers.put(id, member.peers());
+                        if (member.ready()) {
+                            serving.add(id);
+                        }
                     }
                 });
-    }
-
-    private void writeFailed(Throwable reason) {
-        mGateway.log().record(GatewayEvent.STORE_WRITE_FAILED, "row", "member", "reason", reason);
+        mPeers = Map.copyOf(peers);
+        mServing = Set.copyOf(serving);
+        mGateway.membersChanged();
+        logChange();
     }
 
     private void logChange() {
@@ -173,21 +205,88 @@
         }
     }
 
-    private Optional<Member> read(TableRow row, long now) {
+    private void look() {
+        mStore.read(TABLE).subscribe(this::take, this::readFailed);
+        long interval = LOOK_MILLIS_PER_MEMBER * mMembers.size();
+        interval = Math.min(LONGEST_LOOK_MILLIS, Math.max(LEAST_LOOK_MILLIS, interval));
+        mGateway.loop().schedule(this::look, interval, TimeUnit.MILLISECONDS);
+    }
+
+    private void readFailed(Throwable reason) {
+        mGateway.log().record(GatewayEvent.STORE_LOST, "table", TABLE, "reason", reason);
+    }
+
+    private void take(TableStore.Rows rows) {
+        long now = mGateway.now();
+        boolean listed = false;
+        for (TableRow row : rows.rows()) {
+            if (row.key().equals(mSelf.value())) {
+                listed = true;
+            } else {
+                takeRow(row, now);
+            }
+        }
+        if (mJoined && !listed) {
+            write();
+        }
+        refresh();
+    }
+
+    private void takeRow(TableRow row, long now) {
         try {
-            JsonNode member = mJson.readTree(row.content().orElse(new byte[0]));
-            String address = member.path("address").asText();
-            boolean ready = member.path("ready").asBoolean();
-            return Optional.of(new Member(row.version(), address, ready, now));
-        } catch (IOException e) {
+            InstanceId id = InstanceId.of(row.key());
+            Member member = decode(row.content().orElse(new byte[0]), now);
+            Member known = mMembers.get(id);
+            if (known == null || !known.front().equals(member.front())) {
+                mMembers.put(id, member);
+            } else if (now - known.heardAt() > REMOVE_NANOS) {
+                mMembers.remove(id);
+                mStore.remove(TABLE, row.key()).subscribe(v -> {}, this::writeFailed);
+            }
+        } catch (IOException | IllegalArgumentException e) {
             mGateway.log()
                     .record(
-                            GatewayEvent.UPSTREAM_UNREADABLE,
-                            "member",
+                            GatewayEvent.MEMBER_UNREADABLE,
+                            "row",
                             row.key(),
                             "reason",
                             e.getMessage());
-            return Optional.empty();
         }
     }
+
+    private void write() {
+        if (!mGateway.isStopping()) {
+            mStore.write(TABLE, mSelf.value(), encode()).subscribe(v -> {}, this::writeAgain);
+        }
+    }
+
+    private void writeAgain(Throwable reason) {
+        writeFailed(reason);
+        mGateway.loop().schedule(this::write, WRITE_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void writeFailed(Throwable reason) {
+        mGateway.log().record(GatewayEvent.STORE_WRITE_FAILED, "row", "member", "reason", reason);
+    }
+
+    private byte[] encode() {
+        return mJson.createObjectNode()
+                .put("front", mFront.toString())
+                .put("peers", mPeerAddress.toString())
+                .toString()
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private Member decode(byte[] content, long now) throws IOException {
+        JsonNode row = mJson.readTree(content);
+        return new Member(
+                HostAndPort.fromString(row.path("front").asText()),
+                socket(HostAndPort.fromString(row.path("peers").asText())),
+                true,
+                now);
+    }
+
+    private static InetSocketAddress socket(HostAndPort address) {
+        return new InetSocketAddress(InetAddresses.forString(address.getHost()), address.getPort());
+    }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerCodec.java
@@ -0,0 +1,205 @@
+package org.catkinproxy.gateway;
+
+import com.google.common.net.HostAndPort;
+
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.transport.TMemoryBuffer;
+import org.apache.thrift.transport.TMemoryInputTransport;
+import org.apache.thrift.transport.TTransportException;
+import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.id.ModelId;
+import org.catkinproxy.serving.PeerLoads;
+import org.catkinproxy.serving.RolloutState;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Turns news of instances into datagrams, and back.
+ *
+ * <p>The values follow each other in Thrift's compact encoding, without field numbers: a format's
+ * number comes first, and another format is not read. Stateless, and so safe for use by any thread.
+ */
+final class PeerCodec {
+    private static final byte FORMAT = 1;
+    private static final byte HEARTBEAT = 1;
+    private static final byte CACHE_CHANGE = 2;
+    private static final byte ROLLOUT = 3;
+
+    /** No list in a datagram is longer, whatever its length says. */
+    private static final int MAX_ENTRIES = 1_000;
+
+    private static final int USUAL_BYTES = 512;
+
+    private PeerCodec() {}
+
+    /** Writes one value of a map. */
+    private interface Writer<T> {
+        void write(TProtocol out, T value) throws TException;
+    }
+
+    /** Reads one value of a map. */
+    private interface Reader<T> {
+        T read(TProtocol in) throws TException;
+    }
+
+    static byte[] encode(PeerNews news) {
+        try {
+            TMemoryBuffer bytes = new TMemoryBuffer(USUAL_BYTES);
+            TProtocol out = new TCompactProtocol(bytes);
+            out.writeByte(FORMAT);
+            out.writeString(news.instance().value());
+            if (news instanceof PeerNews.Heartbeat heartbeat) {
+                writeHeartbeat(out, heartbeat);
+            } else if (news instanceof PeerNews.CacheChange change) {
+                writeCacheChange(out, change);
+            } else if (news instanceof PeerNews.Rollout rollout) {
+                writeRollout(out, rollout.state());
+            }
+            return Arrays.copyOf(bytes.getArray(), bytes.length());
+        } catch (TException e) {
+            throw new IllegalStateException("news can not be written", e);
+        }
+    }
+
+    private static void writeHeartbeat(TProtocol out, PeerNews.Heartbeat heartbeat)
+            throws TException {
+        out.writeByte(HEARTBEAT);
+        out.writeString(heartbeat.front().toString());
+        out.writeString(heartbeat.peers().toString());
+        out.writeBool(heartbeat.ready());
+        out.writeBool(heartbeat.storeAnswers());
+        writeMap(out, heartbeat.shares(), PeerCodec::writeId, PeerCodec::writeShare);
+        writeMap(out, heartbeat.tables(), TProtocol::writeString, TProtocol::writeI64);
+    }
+
+    private static void writeId(TProtocol out, InstanceId id) throws TException {
+        out.writeString(id.value());
+    }
+
+    private static void writeShare(TProtocol out, PeerLoads.Share share) throws TException {
+        out.writeI32(share.requests());
+        out.writeI64(share.pendingTokens());
+    }
+
+    private static void writeCacheChange(TProtocol out, PeerNews.CacheChange change)
+            throws TException {
+        out.writeByte(CACHE_CHANGE);
+        out.writeString(change.cache().toString());
+        out.writeBool(change.fresh());
+        writeMap(out, change.parts(), TProtocol::writeI64, TProtocol::writeI32);
+    }
+
+    private static void writeRollout(TProtocol out, RolloutState state) throws TException {
+        out.writeByte(ROLLOUT);
+        out.writeI32(state.changing().size());
+        for (InstanceId id : state.changing()) {
+            writeId(out, id);
+        }
+        writeMap(out, state.done(), PeerCodec::writeId, PeerCodec::writeWeights);
+    }
+
+    private static void writeWeights(TProtocol out, Map<ModelId, Integer> weights)
+            throws TException {
+        writeMap(out, weights, (o, model) -> o.writeString(model.value()), TProtocol::writeI32);
+    }
+
+    private static <K, V> void writeMap(
+            TProtocol out, Map<K, V> map, Writer<K> keys, Writer<V> values) throws TException {
+        out.writeI32(map.size());
+        for (Map.Entry<K, V> entry : map.entrySet()) {
+            keys.write(out, entry.getKey());
+            values.write(out, entry.getValue());
+        }
+    }
+
+    /**
+     * Reads a datagram.
+     *
+     * @throws IllegalArgumentException if it can not be read
+     */
+    static PeerNews decode(byte[] bytes) {
+        try {
+            return decode(new TCompactProtocol(new TMemoryInputTransport(bytes)));
+        } catch (TTransportException e) {
+            throw new IllegalArgumentException("news end too early", e);
+        } catch (TException e) {
+            throw new IllegalArgumentException("news can not be read", e);
+        }
+    }
+
+    private static PeerNews decode(TProtocol in) throws TException {
+        byte format = in.readByte();
+        if (format != FORMAT) {
+            throw new IllegalArgumentException("format of news: " + format);
+        }
+        InstanceId instance = readId(in);
+        byte kind = in.readByte();
+        return switch (kind) {
+            case HEARTBEAT -> readHeartbeat(in, instance);
+            case CACHE_CHANGE ->
+                    new PeerNews.CacheChange(
+                            instance,
+                            HostAndPort.fromString(in.readString()),
+                            in.readBool(),
+                            readMap(in, TProtocol::readI64, TProtocol::readI32));
+            case ROLLOUT -> new PeerNews.Rollout(instance, readRollout(in));
+            default -> throw new IllegalArgumentException("kind of news: " + kind);
+        };
+    }
+
+    private static PeerNews readHeartbeat(TProtocol in, InstanceId instance) throws TException {
+        return new PeerNews.Heartbeat(
+                instance,
+                HostAndPort.fromString(in.readString()),
+                HostAndPort.fromString(in.readString()),
+                in.readBool(),
+                in.readBool(),
+                readMap(in, PeerCodec::readId, PeerCodec::readShare),
+                readMap(in, TProtocol::readString, TProtocol::readI64));
+    }
+
+    private static InstanceId readId(TProtocol in) throws TException {
+        return InstanceId.of(in.readString());
+    }
+
+    private static PeerLoads.Share readShare(TProtocol in) throws TException {
+        return new PeerLoads.Share(in.readI32(), in.readI64());
+    }
+
+    private static RolloutState readRollout(TProtocol in) throws TException {
+        int size = readSize(in);
+        Set<InstanceId> changing = new HashSet<>();
+        for (int i = 0; i < size; i++) {
+            changing.add(readId(in));
+        }
+        return new RolloutState(changing, readMap(in, PeerCodec::readId, PeerCodec::readWeights));
+    }
+
+    private static Map<ModelId, Integer> readWeights(TProtocol in) throws TException {
+        return readMap(in, i -> ModelId.of(i.readString()), TProtocol::readI32);
+    }
+
+    private static <K, V> Map<K, V> readMap(TProtocol in, Reader<K> keys, Reader<V> values)
+            throws TException {
+        int size = readSize(in);
+        Map<K, V> map = new HashMap<>();
+        for (int i = 0; i < size; i++) {
+            map.put(keys.read(in), values.read(in));
+        }
+        return map;
+    }
+
+    private static int readSize(TProtocol in) throws TException {
+        int size = in.readI32();
+        if (size < 0 || size > MAX_ENTRIES) {
+            throw new IllegalArgumentException("entries in news: " + size);
+        }
+        return size;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerLink.java
@@ -0,0 +1,154 @@
+package org.catkinproxy.gateway;
+
+import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.serving.PeerLoads;
+import org.catkinproxy.serving.UpstreamLoad;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.InternetProtocolFamily;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Sends news to the other instances and takes theirs, in datagrams.
+ *
+ * <p>News are hints that soon grow old, so that a lost datagram is not sent again. Used by the
+ * event loop only.
+ */
+final class PeerLink {
+    private static final long LEAST_INTERVAL_MILLIS = 150;
+
+    /** The interval grows by this much with each peer, which bounds what an instance sends. */
+    private static final long INTERVAL_MILLIS_PER_PEER = 10;
+
+    /** Upstreams in one heartbeat; an instance has requests open at few of many. */
+    private static final int MAX_SHARES = 60;
+
+    private static final int MAX_DATAGRAM_BYTES = 8 * 1024;
+    private static final int RECEIVE_BUFFER_BYTES = 256 * 1024;
+
+    private final Gateway mGateway;
+    private final InetSocketAddress mAddress;
+    private Channel mChannel;
+
+    PeerLink(Gateway gateway, InetSocketAddress address) {
+        mGateway = gateway;
+        mAddress = address;
+    }
+
+    /** Opens the socket and begins to send heartbeats. */
+    ChannelFuture start() {
+        ChannelFuture bound =
+                new Bootstrap()
+                        .group(mGateway.loop())
+                        .channelFactory(() -> new NioDatagramChannel(InternetProtocolFamily.IPv4))
+                        .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+                        .handler(new Receiver())
+                        .bind(mAddress);
+        mChannel = bound.channel();
+        heartbeats();
+        return bound;
+    }
+
+    private void heartbeats() {
+        int peers = mGateway.members().peers().size();
+        long interval = Math.max(LEAST_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_PEER * peers);
+        heartbeat();
+        mGateway.loop().schedule(this::heartbeats, interval, TimeUnit.MILLISECONDS);
+    }
+
+    /** Tells all peers how this instance is now. */
+    void heartbeat() {
+        tell(mGateway.members().heartbeat(shares(), mGateway.tableVersions()));
+    }
+
+    private Map<InstanceId, PeerLoads.Share> shares() {
+        Map<InstanceId, PeerLoads.Share> shares = new HashMap<>();
+        for (UpstreamLoad load : mGateway.allLoads()) {
+            if (load.inFlight() > 0 && shares.size() < MAX_SHARES) {
+                shares.put(
+                        load.upstream().id(),
+                        new PeerLoads.Share(load.inFlight(), load.pendingTokens()));
+            }
+        }
+        return shares;
+    }
+
+    /** Tells all peers. */
+    void tell(PeerNews news) {
+        tell(news, mGateway.members().peers().values());
+    }
+
+    /** Tells some peers, without any promise that the news arrive. */
+    void tell(PeerNews news, Collection<InetSocketAddress> peers) {
+        if (mChannel == null || !mChannel.isActive() || peers.isEmpty()) {
+            return;
+        }
+        byte[] bytes = PeerCodec.encode(news);
+        for (InetSocketAddress peer : peers) {
+            mChannel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer));
+        }
+        mChannel.flush();
+    }
+
+    private void take(PeerNews news, InetSocketAddress sender) {
+        if (news instanceof PeerNews.Heartbeat heartbeat) {
+            takeHeartbeat(heartbeat, sender);
+        } else if (!mGateway.members().peers().containsKey(news.instance())) {
+            return;
+        } else if (news instanceof PeerNews.CacheChange change) {
+            mGateway.caches().told(change);
+        } else if (news instanceof PeerNews.Rollout rollout) {
+            mGateway.rolloutNews().told(rollout.state());
+        }
+    }
+
+    private void takeHeartbeat(PeerNews.Heartbeat heartbeat, InetSocketAddress sender) {
+        if (!mGateway.members().told(heartbeat, sender)) {
+            return;
+        }
+        mGateway.peerLoads().told(heartbeat.instance(), heartbeat.shares(), mGateway.now());
+        heartbeat.tables().forEach(mGateway::tableToldOf);
+        if (!heartbeat.storeAnswers()) {
+            mGateway.storeToldAway();
+        }
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            if (packet.content().readableBytes() > MAX_DATAGRAM_BYTES) {
+                return;
+            }
+            try {
+                take(PeerCodec.decode(ByteBufUtil.getBytes(packet.content())), packet.sender());
+            } catch (IllegalArgumentException e) {
+                mGateway.log()
+                        .record(
+                                GatewayEvent.PEER_NEWS_UNREADABLE,
+                                "sender",
+                                packet.sender(),
+                                "reason",
+                                e.getMessage());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            mGateway.log().record(GatewayEvent.TASK_FAILED, "task", "peers", "reason", cause);
+        }
+    }
+}
--- a/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
@@ -4,6 +4,7 @@
 import org.catkinproxy.error.ErrorCode;
 
 import io.netty.channel.EventLoop;
+import io.reactivex.rxjava3.disposables.Disposable;
 
 import java.time.Duration;
 import java.util.List;
@@ -13,13 +14,17 @@
  * Follows one table of the store: reads it whole, then waits for changes.
  *
  * <p>A lost history is answered by reading the table again. After a failure the same position is
- * asked for again on another connection; a call that stays silent fails by its timeout. Used by the
- * event loop only.
+ * asked for again on another connection. A call that stays silent fails by its timeout, or is given
+ * up once another instance tells of a change that it should have brought. Used by the event loop
+ * only.
  */
 public final class TableWatch {
     private static final long FIRST_BACKOFF_MILLIS = 100;
     private static final long LONGEST_BACKOFF_MILLIS = 800;
 
+    /** A change that another instance tells of should come by itself in this time. */
+    private static final long BEHIND_MILLIS = 300;
+
     /** Learns what a table holds. */
     public interface Listener {
         /** Takes the whole table. */
@@ -33,72 +38,113 @@
 
         /** Notes that the store does not answer. */
         void onDisconnected(CatkinException reason);
+
+        /** Notes that a change did not come by itself, so that the store is asked again. */
+        void onBehind(long known, long told);
+    }
+
+    /** How often the store is asked, which depends on how many instances ask. */
+    public interface Pace {
+        /** Returns how long a call waits for changes. */
+        Duration longestWait();
+
+        /** Returns how long the next call is put off after changes, so that more come together. */
+        Duration pauseAfterChanges();
     }
 
     private final EventLoop mLoop;
     private final TableStore mStore;
     private final String mTable;
     private final Listener mListener;
-    private final Duration mWait;
+    private final Pace mPace;
+
+    /** Up to where the table is known, negative if it is not. */
     private long mVersion = -1;
+
+    /** The newest change that was seen. */
+    private long mNewestRow;
+
     private long mBackoffMillis = FIRST_BACKOFF_MILLIS;
-    private boolean mClosed;
+    private Disposable mCall = Disposable.disposed();
+    private boolean mChecking;
 
     private TableWatch(
-            EventLoop loop, TableStore store, String table, Listener listener, Duration wait) {
+            EventLoop loop, TableStore store, String table, Listener listener, Pace pace) {
         mLoop = loop;
         mStore = store;
         mTable = table;
         mListener = listener;
-        mWait = wait;
+        mPace = pace;
     }
 
-    /**
-     * Starts to follow a table.
-     *
-     * @param wait how long a call waits for changes; a silent connection is found a little later
-     */
+    /** Starts to follow a table. */
     public static TableWatch start(
-            EventLoop loop, TableStore store, String table, Listener listener, Duration wait) {
-        TableWatch watch = new TableWatch(loop, store, table, listener, wait);
+            EventLoop loop, TableStore store, String table, Listener listener, Pace pace) {
+        TableWatch watch = new TableWatch(loop, store, table, listener, pace);
         watch.next();
         return watch;
     }
 
-    /** Ends the watch. */
-    public void close() {
-        mClosed = true;
+    /** Returns the table's name. */
+    public String table() {
+        return mTable;
     }
 
-    private void next() {
-        if (mClosed) {
+    /** Returns the version of the newest change that was seen. */
+    public long newestRow() {
+        return mNewestRow;
+    }
+
+    /** Takes that another instance knows of a change with {@code version}. */
+    public void toldOf(long version) {
+        if (version <= mVersion || mChecking || mVersion < 0) {
             return;
         }
-        if (mVersion < 0) {
-            mStore.read(mTable).subscribe(this::onTable, this::onFailure);
-        } else {
-            mStore.changes(mTable, mVersion, mWait).subscribe(this::onChanges, this::onFailure);
+        mChecking = true;
+        Disposable call = mCall;
+        mLoop.schedule(() -> check(version, call), BEHIND_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void check(long version, Disposable call) {
+        mChecking = false;
+        if (version > mVersion && call == mCall && !call.isDisposed()) {
+            mListener.onBehind(mVersion, version);
+            call.dispose();
+            next();
         }
     }
 
+    private void next() {
+        mCall =
+                mVersion < 0
+                        ? mStore.read(mTable).subscribe(this::onTable, this::onFailure)
+                        : mStore.changes(mTable, mVersion, mPace.longestWait())
+                                .subscribe(this::onChanges, this::onFailure);
+    }
+
     private void onTable(TableStore.Rows rows) {
         mListener.onConnected();
         mListener.onTable(rows.rows());
         advance(rows);
+        mLoop.execute(this::next);
     }
 
     private void onChanges(TableStore.Rows rows) {
         mListener.onConnected();
-        if (!rows.rows().isEmpty()) {
-            mListener.onChanges(rows.rows());
-        }
         advance(rows);
+        if (rows.rows().isEmpty()) {
+            mLoop.execute(this::next);
+            return;
+        }
+        mListener.onChanges(rows.rows());
+        long pause = mPace.pauseAfterChanges().toMillis();
+        mLoop.schedule(this::next, pause, TimeUnit.MILLISECONDS);
     }
 
     private void advance(TableStore.Rows rows) {
         mVersion = Math.max(mVersion, rows.version());
+        rows.rows().forEach(r -> mNewestRow = Math.max(mNewestRow, r.version()));
         mBackoffMillis = FIRST_BACKOFF_MILLIS;
-        mLoop.execute(this::next);
     }
 
     private void onFailure(Throwable failure) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Upstreams.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Upstreams.java
@@ -40,17 +40,29 @@
         return mKnown;
     }
 
+    /** Tells whether the store answered last time. */
+    boolean isConnected() {
+        return mConnected;
+    }
+
+    /** Takes that the store does not answer another instance: entries may lapse meanwhile. */
+    void storeToldAway() {
+        mListing.wasAway(mGateway.now());
+    }
+
     /** Returns what is believed of the upstreams of a service. */
     Collection<UpstreamLoad> loads(ServiceId service) {
         return mLoads.getOrDefault(service, Map.of()).values();
     }
 
+    /** Returns what is believed of all upstreams. */
+    List<UpstreamLoad> all() {
+        return mLoads.values().stream().flatMap(l -> l.values().stream()).toList();
+    }
+
     /** Returns what is believed of all engines. */
     List<UpstreamLoad> engineLoads() {
-        return mLoads.values().stream()
-                .flatMap(l -> l.values().stream())
-                .filter(l -> !l.upstream().weights().isEmpty())
-                .toList();
+        return all().stream().filter(l -> !l.upstream().weights().isEmpty()).toList();
     }
 
     /** Tells whether this belief is still the one about its upstream. */
@@ -111,6 +123,19 @@
         }
     }
 
+    @Override
+    public void onBehind(long known, long told) {
+        mGateway.log()
+                .record(
+                        GatewayEvent.STORE_BEHIND,
+                        "table",
+                        "upstreams",
+                        "known",
+                        known,
+                        "told",
+                        told);
+    }
+
     @Override
     public void onDisconnected(CatkinException reason) {
         mListing.disconnected();
--- /dev/null
+++ b/gateway/src/test/java/org/catkinproxy/gateway/PeerCodecTest.java
@@ -0,0 +1,90 @@
+package org.catkinproxy.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.net.HostAndPort;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.id.ModelId;
+import org.catkinproxy.serving.PeerLoads;
+import org.catkinproxy.serving.RolloutState;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** News arrive as they were told, or are found unreadable. */
+class PeerCodecTest {
+    private static final InstanceId SELF = InstanceId.of("edge-1");
+    private static final HostAndPort ADDRESS = HostAndPort.fromParts("10.0.0.1", 8_080);
+
+    private static final List<PeerNews> SAMPLES =
+            List.of(
+                    new PeerNews.Heartbeat(
+                            SELF,
+                            ADDRESS,
+                            HostAndPort.fromParts("10.0.0.1", 7_340),
+                            true,
+                            false,
+                            Map.of(InstanceId.of("engine"), new PeerLoads.Share(3, 40_000)),
+                            Map.of("upstreams", 812L, "operators", 7L)),
+                    new PeerNews.CacheChange(
+                            SELF, ADDRESS, true, Map.of(-1L, 0, Long.MIN_VALUE, 512, 7L, 3)),
+                    new PeerNews.Rollout(
+                            SELF,
+                            new RolloutState(
+                                    Set.of(InstanceId.of("a"), InstanceId.of("b")),
+                                    Map.of(InstanceId.of("c"), Map.of(ModelId.of("m"), 4)))));
+
+    @Example
+    void newsArriveAsTheyWereTold() {
+        for (PeerNews news : SAMPLES) {
+            assertThat(PeerCodec.decode(PeerCodec.encode(news))).isEqualTo(news);
+        }
+    }
+
+    /** Keys of parts are hashes, so that any bits may come, those of no number included. */
+    @Property
+    void everyKeyArrives(@ForAll long key) {
+        PeerNews news = new PeerNews.CacheChange(SELF, ADDRESS, false, Map.of(key, 1));
+        assertThat(PeerCodec.decode(PeerCodec.encode(news))).isEqualTo(news);
+    }
+
+    @Example
+    void newsThatAreCutOffAreUnreadable() {
+        for (PeerNews news : SAMPLES) {
+            byte[] bytes = PeerCodec.encode(news);
+            for (int length = 0; length < bytes.length; length++) {
+                byte[] cut = Arrays.copyOf(bytes, length);
+                assertThat(isReadable(cut)).isFalse();
+            }
+        }
+    }
+
+    @Example
+    void anotherFormatIsUnreadable() {
+        byte[] bytes = PeerCodec.encode(SAMPLES.get(0));
+        bytes[0]++;
+        assertThat(isReadable(bytes)).isFalse();
+    }
+
+    private static boolean isReadable(byte[] bytes) {
+        try {
+            PeerCodec.decode(bytes);
+            return true;
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+    }
+
+    /** Whatever arrives either is news or is unreadable; nothing else is thrown. */
+    @Property
+    void anyBytesAreReadOrRefused(@ForAll byte[] bytes) {
+        isReadable(bytes);
+    }
+}
