Copy short shared parts too

Parts below 512 tokens were computed rather than copied, so each engine read the 198 shared tokens of every short prompt anew. A copied token costs a 250th of one that is read again.

--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -42,8 +42,8 @@
     /** Engines with old weights are used only if the others would be this much later. */
     private static final double OLD_WEIGHTS_NANOS = 400_000_000;
 
-    /** Less than this is computed rather than copied. */
-    private static final long LEAST_FETCH_TOKENS = 512;
+    /** Less than this is computed rather than copied: memory goes by blocks of about this size. */
+    private static final long LEAST_FETCH_TOKENS = 32;
 
     /** Copies between data centres take longer than within one. */
     private static final double FETCH_SHARE_ACROSS = 1.7;
--- a/core/src/test/java/org/catkinproxy/serving/UpstreamChooserTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/UpstreamChooserTest.java
@@ -116,6 +116,19 @@
         assertThat(choose(loads, prompt).orElseThrow().load()).isSameInstanceAs(loads.get(17));
     }
 
+    /** Many short prompts of few subjects: each is read once, and then copied. */
+    @Example
+    void shortSharedPartsAreCopiedToo() {
+        List<UpstreamLoad> loads = engines(2);
+        Prompt prompt = Samples.prompt(120, 80, 600);
+        cache(loads.get(0), prompt, 2);
+        loads.get(0).sent(30_000);
+
+        UpstreamChooser.Choice choice = choose(loads, prompt).orElseThrow();
+        assertThat(choice.load()).isSameInstanceAs(loads.get(1));
+        assertThat(choice.source()).hasValue(loads.get(0).upstream().address());
+    }
+
     @Example
     void nothingIsCopiedFromAnEngineWithOtherWeights() {
         List<UpstreamLoad> loads = engines(1);
