Let engines finish their requests before they change weights

An engine that is about to change already got no requests; its order now waits up to 800 ms until none is open there, as all instances tell.

--- a/core/src/main/java/org/catkinproxy/serving/VersionRollout.java
+++ b/core/src/main/java/org/catkinproxy/serving/VersionRollout.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.ToIntFunction;
 
 /**
  * Works out which engines are to be asked, ordered and watched so that all get the newest weights.
@@ -21,8 +22,9 @@
  * <p>Each engine is first asked for its state, then ordered on the condition that its count of
  * orders is still the one it told, then asked again until it has the weights. An order whose answer
  * was lost is settled by asking: if it was taken, the count has changed; if it comes late, its
- * condition no longer holds. Only a few engines change at a time. Times are nanoseconds of the
- * owner's monotonic clock. Not safe for use by several threads.
+ * condition no longer holds. Only a few engines change at a time; each gets no requests for a while
+ * before, so that few answers are made on two versions. Times are nanoseconds of the owner's
+ * monotonic clock. Not safe for use by several threads.
  */
 public final class VersionRollout {
     private static final long ASK_AGAIN_NANOS = 250_000_000L;
@@ -33,6 +35,12 @@
     /** An engine that takes longer no longer holds back the others. */
     private static final long CHANGE_TIMEOUT_NANOS = 5_000_000_000L;
 
+    /**
+     * An engine whose requests have not ended after this time is ordered all the same: these go on
+     * under the new weights, and what they make then is of no use.
+     */
+    private static final long DRAIN_NANOS = 800_000_000L;
+
     private final Map<InstanceId, Progress> mProgress = new HashMap<>();
 
     private static final int LEAST_CONCURRENT = 2;
@@ -86,8 +94,16 @@
         return new VersionRollout();
     }
 
-    /** Returns the steps that are due. */
-    public List<Step> plan(Map<ModelId, Integer> wanted, Collection<Upstream> engines, long now) {
+    /**
+     * Returns the steps that are due.
+     *
+     * @param requests how many requests all instances have open at an engine, as far as is known
+     */
+    public List<Step> plan(
+            Map<ModelId, Integer> wanted,
+            Collection<Upstream> engines,
+            ToIntFunction<Upstream> requests,
+            long now) {
         forgetOthers(engines);
         List<Upstream> behind =
                 engines.stream()
@@ -105,6 +121,9 @@
             if (progress.mNextAt - now > 0 || (starts && free <= 0)) {
                 continue;
             }
+            if (isDraining(progress, requests, now)) {
+                continue;
+            }
             Optional<Step> step = step(progress, wanted, now);
             if (step.isPresent() && starts) {
                 progress.mChanging = true;
@@ -166,6 +185,18 @@
         }
     }
 
+    /** Tells whether an engine that is to be ordered next gets no requests and still has some. */
+    private static boolean isDraining(
+            Progress progress, ToIntFunction<Upstream> requests, long now) {
+        boolean orderIsNext =
+                progress.mChanging
+                        && progress.mReport.isPresent()
+                        && !progress.mReport.get().busy();
+        return orderIsNext
+                && now - progress.mChangingSince < DRAIN_NANOS
+                && requests.applyAsInt(progress.mEngine) > 0;
+    }
+
     private Optional<Step> step(Progress progress, Map<ModelId, Integer> wanted, long now) {
         Upstream engine = progress.mEngine;
         progress.mNextAt = now + STEP_TIMEOUT_NANOS;
--- a/core/src/test/java/org/catkinproxy/serving/VersionRolloutTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/VersionRolloutTest.java
@@ -8,6 +8,7 @@
 import org.catkinproxy.id.ModelId;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,13 @@
 
     private final VersionRollout mRollout = VersionRollout.create();
 
+    private final Map<InstanceId, Integer> mOpen = new HashMap<>();
+
+    private List<VersionRollout.Step> plan(
+            Map<ModelId, Integer> wanted, Collection<Upstream> engines, long now) {
+        return mRollout.plan(wanted, engines, e -> mOpen.getOrDefault(e.id(), 0), now);
+    }
+
     private static VersionRollout.EngineReport report(int version, boolean busy, long orders) {
         return new VersionRollout.EngineReport(Map.of(Samples.MODEL, version), busy, orders);
     }
@@ -28,40 +36,67 @@
         for (int i = 0; i < 6; i++) {
             engines.add(Samples.engine("e" + i, 1));
         }
-        List<VersionRollout.Step> asks = mRollout.plan(WANTED, engines, 0);
+        List<VersionRollout.Step> asks = plan(WANTED, engines, 0);
         assertThat(asks).hasSize(3);
-        assertThat(mRollout.plan(WANTED, engines, 1)).isEmpty();
+        assertThat(plan(WANTED, engines, 1)).isEmpty();
 
         Upstream first = asks.get(0).engine();
         mRollout.reported(first, report(1, false, 7), 10);
-        List<VersionRollout.Step> orders = mRollout.plan(WANTED, engines, 10);
+        List<VersionRollout.Step> orders = plan(WANTED, engines, 10);
         assertThat(orders)
                 .containsExactly(new VersionRollout.Step.Order(first, Samples.MODEL, 2, 7));
 
         mRollout.reported(first, report(2, false, 8), 20);
-        List<VersionRollout.Step> next = mRollout.plan(WANTED, engines, 20);
+        List<VersionRollout.Step> next = plan(WANTED, engines, 20);
         assertThat(next).hasSize(1);
         assertThat(next.get(0).engine()).isNotEqualTo(first);
     }
 
+    /** Versions that follow each other under load: answers are not made on two of them. */
+    @Example
+    void engineChangesOnceItsRequestsHaveEnded() {
+        Upstream engine = Samples.engine("e", 1);
+        mOpen.put(engine.id(), 3);
+        plan(WANTED, List.of(engine), 0);
+        mRollout.reported(engine, report(1, false, 7), 10);
+
+        assertThat(plan(WANTED, List.of(engine), 100 * Samples.MILLI)).isEmpty();
+        assertThat(mRollout.state(100 * Samples.MILLI).changing()).containsExactly(engine.id());
+
+        mOpen.clear();
+        assertThat(plan(WANTED, List.of(engine), 200 * Samples.MILLI))
+                .containsExactly(new VersionRollout.Step.Order(engine, Samples.MODEL, 2, 7));
+    }
+
+    @Example
+    void longRequestsDoNotHoldTheWeightsBackForLong() {
+        Upstream engine = Samples.engine("e", 1);
+        mOpen.put(engine.id(), 3);
+        plan(WANTED, List.of(engine), 0);
+        mRollout.reported(engine, report(1, false, 7), 10);
+
+        assertThat(plan(WANTED, List.of(engine), Samples.SECOND))
+                .containsExactly(new VersionRollout.Step.Order(engine, Samples.MODEL, 2, 7));
+    }
+
     @Example
     void anEngineThatHasTheWeightsIsNotAskedAgainWhileTheListLags() {
         List<Upstream> engines = List.of(Samples.engine("e", 1));
-        mRollout.plan(WANTED, engines, 0);
+        plan(WANTED, engines, 0);
         mRollout.reported(engines.get(0), report(2, false, 1), 10);
 
         assertThat(mRollout.isBehind(engines.get(0), WANTED)).isFalse();
-        assertThat(mRollout.plan(WANTED, engines, 5 * Samples.SECOND)).isEmpty();
+        assertThat(plan(WANTED, engines, 5 * Samples.SECOND)).isEmpty();
     }
 
     @Example
     void aRestartUnderTheSameIdIsAskedAnew() {
         Upstream before = Samples.engine("e", 1);
-        mRollout.plan(WANTED, List.of(before), 0);
+        plan(WANTED, List.of(before), 0);
         mRollout.reported(before, report(2, false, 1), 10);
         Upstream after = Samples.upstream("e", "2", false, Map.of(Samples.MODEL, 1));
 
-        assertThat(mRollout.plan(WANTED, List.of(after), 20))
+        assertThat(plan(WANTED, List.of(after), 20))
                 .containsExactly(new VersionRollout.Step.Ask(after));
     }
 
@@ -72,7 +107,7 @@
             engines.add(Samples.engine("e" + i, i < 3 ? 2 : 1));
         }
         List<String> asked =
-                mRollout.plan(Map.of(Samples.MODEL, 3), engines, 0).stream()
+                plan(Map.of(Samples.MODEL, 3), engines, 0).stream()
                         .map(s -> s.engine().id().value())
                         .toList();
         assertThat(asked).containsAtLeast("e3", "e4");
@@ -82,12 +117,12 @@
     void anOrderWhoseAnswerIsLostIsSettledByAsking() {
         Upstream engine = Samples.engine("e", 1);
         List<Upstream> engines = List.of(engine);
-        mRollout.plan(WANTED, engines, 0);
+        plan(WANTED, engines, 0);
         mRollout.reported(engine, report(1, false, 4), 10);
-        mRollout.plan(WANTED, engines, 10);
+        plan(WANTED, engines, 10);
         mRollout.failed(engine, 700 * Samples.MILLI);
 
-        assertThat(mRollout.plan(WANTED, engines, Samples.SECOND))
+        assertThat(plan(WANTED, engines, Samples.SECOND))
                 .containsExactly(new VersionRollout.Step.Ask(engine));
     }
 
@@ -103,7 +138,7 @@
                     has.entrySet().stream()
                             .map(e -> Samples.engine(e.getKey().value(), e.getValue()))
                             .toList();
-            for (VersionRollout.Step step : mRollout.plan(WANTED, engines, now)) {
+            for (VersionRollout.Step step : plan(WANTED, engines, now)) {
                 InstanceId id = step.engine().id();
                 if (id.equals(silent)) {
                     mRollout.failed(step.engine(), now);
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -445,6 +445,12 @@
         return mUpstreams.all();
     }
 
+    /** Returns how many requests all instances have open at an upstream, as far as is known. */
+    int requestsAt(Upstream upstream) {
+        int own = load(upstream).map(UpstreamLoad::inFlight).orElse(0);
+        return own + mPeerLoads.at(upstream.id()).requests();
+    }
+
     PeerLoads peerLoads() {
         return mPeerLoads;
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
@@ -84,7 +84,7 @@
         if (!needed || leaving) {
             mRunning = false;
             if (mHeld.isPresent()) {
-                mRollout.plan(wanted, engines, now);
+                mRollout.plan(wanted, engines, mGateway::requestsAt, now);
                 mNews.publish(mRollout.state(now));
             }
             return;
@@ -92,7 +92,8 @@
         mLease.handle(new LeaseEvent.Tick(), now).ifPresent(this::act);
         noteHolding(mLease.held(now));
         if (mHeld.isPresent()) {
-            List<VersionRollout.Step> steps = mRollout.plan(wanted, engines, now);
+            List<VersionRollout.Step> steps =
+                    mRollout.plan(wanted, engines, mGateway::requestsAt, now);
             mNews.publish(mRollout.state(now));
             steps.forEach(this::carryOut);
         }
