--- a/gateway/src/main/java/org/catkinproxy/gateway/Admission.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Admission.java
@@ -40,16 +40,16 @@
         Route route = route(config, request);
         Optional<WorkspaceAccess> access = access(config, route, head);
         gateway.checkTakes(route.kind());
-        return new Exchange(
-                gateway,
-                front,
-                head,
-                request.method(),
-                request.uri(),
-                request.headers(),
-                body,
-                route,
-                access);
+        AdmittedCall call =
+                new AdmittedCall(
+                        head,
+                        request.method(),
+                        request.uri(),
+                        request.headers(),
+                        body,
+                        route,
+                        access);
+        return new Exchange(gateway, front, call);
     }
 
     /** Returns the request's id for the log, or a word that says there is none. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -1,7 +1,10 @@
 package org.catkinproxy.gateway;
 
+import com.google.common.net.HostAndPort;
+
 import org.catkinproxy.error.ErrorCode;
 import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.id.RequestId;
 import org.catkinproxy.id.ServiceId;
 import org.catkinproxy.serving.CallKind;
 import org.catkinproxy.serving.EngineLimits;
@@ -10,23 +13,16 @@
 import org.catkinproxy.serving.Route;
 import org.catkinproxy.serving.SendFailure;
 import org.catkinproxy.serving.SharedRetryBudget;
-import org.catkinproxy.serving.Upstream;
 import org.catkinproxy.serving.UpstreamChooser;
 import org.catkinproxy.serving.UpstreamLoad;
-import org.catkinproxy.serving.WorkspaceAccess;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -39,50 +35,26 @@
  * answer is passed on once it is whole; a stream's events as they come, each once it is whole. Used
  * by the event loop only.
  */
-final class Exchange {
-    /** A plain answer up to this size is passed on whole; a longer one is refused. */
-    private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-
+final class Exchange implements UpstreamSend.Owner {
     /** An upstream that rejects a request gets none for this long. */
     private static final long REJECTION_PAUSE_NANOS = 150_000_000L;
 
     /** An engine that is to change its weights rejects requests until it has. */
     private static final long CHANGE_PAUSE_NANOS = 1_200_000_000L;
 
-    /** A stream without an event for this long is taken up elsewhere, if it may be. */
-    private static final long SILENT_STREAM_NANOS = 1_100_000_000L;
-
-    /** A stream that has not begun at an engine which answers others is left there this long. */
-    private static final long QUEUED_NANOS = 2_300_000_000L;
-
-    /** A plain request that may run again is sent elsewhere after this many goals. */
-    private static final double SILENT_GOALS = 1.8;
-
     /** A rejected request that waits is placed again after this time. */
     private static final long WAIT_MILLIS = 120;
 
     private static final long LONGEST_WAIT_NANOS = 1_500_000_000L;
 
-    /** A silent send that none may follow is looked at again after this time. */
-    private static final long MORE_TIME_NANOS = 300_000_000L;
-
     /** Checks follow each other after this time at least. */
     private static final long LEAST_CHECK_NANOS = 10_000_000L;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /** Scope of the prompts of all workspaces that are not isolated; no workspace has the name. */
-    private static final String SHARED_SCOPE = "*";
-
     private final Gateway mGateway;
     private final FrontConnection mFront;
-    private final CallHead mHead;
-    private final HttpMethod mMethod;
-    private final String mUri;
-    private final HttpHeaders mHeaders;
-    private final ByteBuf mBody;
-    private final Route mRoute;
-    private final Optional<WorkspaceAccess> mAccess;
+    private final AdmittedCall mCall;
     private final long mArrivedAt;
     private final long mDeadline;
     private final ServiceId mService;
@@ -91,7 +63,7 @@
     private final EventSplitter mEvents;
     private final Optional<UpstreamChooser.PlacedPrompt> mPlaced;
 
-    private OpenSend mSend;
+    private UpstreamSend mSend;
     private int mSends;
     private int mRuns;
     private int mRejections;
@@ -106,51 +78,40 @@
     private boolean mCallerGone;
     private ScheduledFuture<?> mTimer;
 
-    Exchange(
-            Gateway gateway,
-            FrontConnection front,
-            CallHead head,
-            HttpMethod method,
-            String uri,
-            HttpHeaders headers,
-            ByteBuf body,
-            Route route,
-            Optional<WorkspaceAccess> access) {
+    Exchange(Gateway gateway, FrontConnection front, AdmittedCall call) {
         mGateway = gateway;
         mFront = front;
-        mHead = head;
-        mMethod = method;
-        mUri = uri;
-        mHeaders = headers;
-        mBody = body;
-        mRoute = route;
-        mAccess = access;
+        mCall = call;
         mEvents = new EventSplitter(gateway.dialect().versionEventField());
         mArrivedAt = gateway.now();
-        mDeadline = mArrivedAt + limitNanos();
-        mService = route.service(head.id().value().hashCode());
+        mDeadline = mArrivedAt + call.limitNanos();
+        mService = call.service();
         mBudget = gateway.budget(mService);
-        mPlaced = head.prompt().map(this::placed);
-        mBacksUp = mPlaced.isPresent() && route.kind() == CallKind.STREAM && !route.mayRunAgain();
+        mPlaced = call.head().prompt().map(this::placed);
+        mBacksUp = mPlaced.isPresent() && mustRunOnce();
     }
 
-    private long limitNanos() {
-        long limit = mRoute.timeout().toNanos();
-        if (mHead.budgetMillis().isPresent()) {
-            limit = Math.min(limit, mHead.budgetMillis().getAsLong() * NANOS_PER_MILLI);
-        }
-        return limit;
+    private boolean mustRunOnce() {
+        return route().kind() == CallKind.STREAM && !route().mayRunAgain();
+    }
+
+    private Route route() {
+        return mCall.route();
+    }
+
+    private RequestId id() {
+        return mCall.head().id();
     }
 
     private UpstreamChooser.PlacedPrompt placed(Prompt prompt) {
-        String scope =
-                mAccess.filter(WorkspaceAccess::isolated)
-                        .map(a -> a.workspace().value())
-                        .orElse(SHARED_SCOPE);
         double fetch =
                 mGateway.engineLimits(mService).map(EngineLimits::fetchNanosPerToken).orElse(0.0);
         return new UpstreamChooser.PlacedPrompt(
-                prompt, scope, mGateway.versions(), fetch, mGateway.keptPrompts(prompt));
+                prompt,
+                mCall.cacheScope(),
+                mGateway.versions(),
+                fetch,
+                mGateway.keptPrompts(prompt));
     }
 
     /** Begins. */
@@ -167,8 +128,8 @@
             return;
         }
         mCallerGone = true;
-        mGateway.log().record(GatewayEvent.CALLER_GONE, "request", mHead.id(), "sends", mSends);
-        boolean letRun = mSend != null && mSend.mSent && !mRoute.kind().isCancelledWithCaller();
+        mGateway.log().record(GatewayEvent.CALLER_GONE, "request", id(), "sends", mSends);
+        boolean letRun = mSend != null && mSend.isSent() && !route().kind().isCancelledWithCaller();
         if (!letRun) {
             finish("caller_gone");
         }
@@ -176,8 +137,8 @@
 
     /** Goes on reading from the upstream when the caller's connection takes more. */
     void callerWritable(boolean writable) {
-        if (mSend != null && mSend.mConnection != null) {
-            mSend.mConnection.setReading(writable);
+        if (mSend != null) {
+            mSend.setReading(writable);
         }
     }
 
@@ -188,8 +149,46 @@
             refuse(ErrorCode.NO_UPSTREAM, "no upstream takes requests");
             return;
         }
-        mSend = new OpenSend(choice.get());
-        mSend.start(now);
+        begin(choice.get());
+    }
+
+    private void begin(UpstreamChooser.Choice choice) {
+        OptionalLong lastEvent = mEvents.lastId();
+        if (lastEvent.isEmpty()) {
+            lastEvent = mContinuesCopy ? OptionalLong.of(0) : mCall.head().lastEvent();
+        }
+        mSends++;
+        mGateway.log()
+                .record(
+                        GatewayEvent.REQUEST_PLACED,
+                        "request",
+                        id(),
+                        "route",
+                        route().name(),
+                        "upstream",
+                        choice.load().upstream().id(),
+                        "uncached",
+                        choice.uncachedTokens(),
+                        "source",
+                        choice.source().map(HostAndPort::toString).orElse("none"),
+                        "in_flight",
+                        choice.load().inFlight(),
+                        "peer_requests",
+                        mGateway.peerLoads().at(choice.load().upstream().id()).requests(),
+                        "config",
+                        mGateway.configVersion());
+        mSend =
+                new UpstreamSend(
+                        mGateway,
+                        mCall,
+                        mPlaced,
+                        choice,
+                        new UpstreamSend.Continuation(lastEvent, mContinuesCopy),
+                        mBacksUp,
+                        mEvents,
+                        mDeadline,
+                        this);
+        mSend.start();
     }
 
     private Optional<UpstreamChooser.Choice> choose(long now) {
@@ -199,7 +198,8 @@
                 : mGateway.chooser().chooseEngine(loads, mExcluded, mPlaced.get(), now);
     }
 
-    private void onSendFailed(OpenSend send, SendFailure failure, String reason) {
+    @Override
+    public void onSendFailed(UpstreamSend send, SendFailure failure, String reason) {
         long now = mGateway.now();
         send.close();
         mSend = null;
@@ -208,7 +208,7 @@
                 .record(
                         GatewayEvent.REQUEST_SEND_FAILED,
                         "request",
-                        mHead.id(),
+                        id(),
                         "upstream",
                         send.upstream().id(),
                         "failure",
@@ -216,7 +216,7 @@
                         "reason",
                         reason,
                         "after_ms",
-                        millisSince(send.mStartedAt, now));
+                        millisSince(send.startedAt(), now));
         if (mCallerGone) {
             finish("caller_gone");
             return;
@@ -229,13 +229,12 @@
                     .record(
                             GatewayEvent.REQUEST_RESUMED,
                             "request",
-                            mHead.id(),
+                            id(),
                             "upstream",
                             copy.get().load().upstream().id(),
                             "after_event",
                             mEvents.lastId().orElse(0));
-            mSend = new OpenSend(copy.get());
-            mSend.start(now);
+            begin(copy.get());
         } else if (mayPlaceAgain(failure, now)) {
             mExcluded.add(send.upstream().id());
             mEvents.restart();
@@ -262,7 +261,7 @@
         long waited = now - mArrivedAt;
         return failure == SendFailure.REJECTED
                 && mRuns == 0
-                && mHead.prompt().isPresent()
+                && mCall.head().prompt().isPresent()
                 && waited < LONGEST_WAIT_NANOS
                 && mDeadline - now > LONGEST_WAIT_NANOS;
     }
@@ -282,28 +281,30 @@
 
     /** Returns the engine that has a copy of a broken run's memory, if the run may go on there. */
     private Optional<UpstreamChooser.Choice> copyToContinue(
-            OpenSend send, SendFailure failure, long now) {
-        boolean asked = !mContinuesCopy && mBacksUp && send.mSent && !hasOtherWeights(send);
-        if (!asked || !RetryRule.mayContinueCopy(mRoute, failure, mDeadline - now)) {
+            UpstreamSend send, SendFailure failure, long now) {
+        boolean asked = !mContinuesCopy && mBacksUp && send.isSent() && !hasOtherWeights(send);
+        if (!asked || !RetryRule.mayContinueCopy(route(), failure, mDeadline - now)) {
             return Optional.empty();
         }
-        return send.mChoice
-                .backup()
+        return send.backup()
                 .flatMap(b -> mGateway.load(b))
-                .filter(l -> l.isFit(now) && l.version(mHead.prompt().get()) == send.mVersion)
+                .filter(
+                        l ->
+                                l.isFit(now)
+                                        && l.version(mCall.head().prompt().get()) == send.version())
                 .filter(l -> payRetry(now))
                 .map(UpstreamChooser.Choice::of);
     }
 
     /** A copy that was partly made on other weights must not be gone on from. */
-    private boolean hasOtherWeights(OpenSend send) {
-        int version = send.mChoice.load().version(mHead.prompt().orElseThrow());
-        return mEvents.hasVersionChanged() || version != send.mVersion;
+    private boolean hasOtherWeights(UpstreamSend send) {
+        int version = send.load().version(mCall.head().prompt().orElseThrow());
+        return mEvents.hasVersionChanged() || version != send.version();
     }
 
     /** Nothing reached an upstream that could not be connected, which so costs no budget. */
     private boolean mayPlaceAgain(SendFailure failure, long now) {
-        return RetryRule.mayPlaceAgain(mRoute, failure, mRuns, mRejections, mDeadline - now)
+        return RetryRule.mayPlaceAgain(route(), failure, mRuns, mRejections, mDeadline - now)
                 && (failure == SendFailure.NOT_CONNECTED || payRetry(now));
     }
 
@@ -314,8 +315,8 @@
         return paid;
     }
 
-    private void noteFailure(OpenSend send, SendFailure failure, long now) {
-        UpstreamLoad load = send.mChoice.load();
+    private void noteFailure(UpstreamSend send, SendFailure failure, long now) {
+        UpstreamLoad load = send.load();
         switch (failure) {
             case NOT_CONNECTED, SILENT -> {
                 load.unreachable(now);
@@ -342,7 +343,8 @@
     }
 
     private boolean changesWeights(UpstreamLoad load) {
-        return mHead.prompt()
+        return mCall.head()
+                .prompt()
                 .filter(p -> load.version(p) < mGateway.versions().newest(p.model()))
                 .isPresent();
     }
@@ -364,7 +366,7 @@
             onDeadline();
             return;
         }
-        if (mSend != null && mSend.isSilent(now)) {
+        if (mSend != null && silentAt(mSend) - now <= 0) {
             onSilent(mSend, now);
         }
         if (!mDone) {
@@ -373,7 +375,7 @@
     }
 
     /** A send is given up for its silence only if another one may follow. */
-    private void onSilent(OpenSend send, long now) {
+    private void onSilent(UpstreamSend send, long now) {
         if (mBudget.tryRetry(now, mGateway.instances())) {
             mRetryPaid = true;
             onSendFailed(send, SendFailure.SILENT, "no answer");
@@ -386,17 +388,24 @@
         if (mSend == null) {
             return mDeadline;
         }
-        long silentAt = mSend.silentAt();
+        long silentAt = silentAt(mSend);
         return silentAt - mDeadline < 0 ? silentAt : mDeadline;
     }
 
+    /** When the upstream has been silent for too long, the deadline if nothing else can be done. */
+    private long silentAt(UpstreamSend send) {
+        boolean copied = mBacksUp && mStreaming && !mContinuesCopy;
+        boolean mayMove = route().mayRunAgain() && mRuns + 1 < route().attempts();
+        return send.isSent() && (copied || mayMove) ? send.silentAt(mStreaming) : mDeadline;
+    }
+
     private void onDeadline() {
         if (mCallerGone) {
             finish("caller_gone");
         } else if (mStreaming) {
             mFront.abort();
             finish("timed_out");
-        } else if (mSends == 0 || (mSend != null && !mSend.mSent && mRuns == 0)) {
+        } else if (mSends == 0 || (mSend != null && !mSend.isSent() && mRuns == 0)) {
             refuse(ErrorCode.DEADLINE_UNREACHABLE, "nothing was sent");
         } else {
             fail(ErrorCode.TIMED_OUT, "no whole answer");
@@ -409,7 +418,7 @@
                 .record(
                         GatewayEvent.REQUEST_REFUSED,
                         "request",
-                        mHead.id(),
+                        id(),
                         "code",
                         code.wire(),
                         "reason",
@@ -440,16 +449,16 @@
             mSend = null;
         }
         mEvents.restart();
-        mBody.release();
+        mCall.body().release();
         long now = mGateway.now();
-        mGateway.metrics().ended(mRoute.kind(), outcome, now - mArrivedAt);
+        mGateway.metrics().ended(route().kind(), outcome, now - mArrivedAt);
         mGateway.log()
                 .record(
                         GatewayEvent.REQUEST_ENDED,
                         "request",
-                        mHead.id(),
+                        id(),
                         "route",
-                        mRoute.name(),
+                        route().name(),
                         "outcome",
                         outcome,
                         "sends",
@@ -463,345 +472,86 @@
         return (now - start) / NANOS_PER_MILLI;
     }
 
-    /** One send to one upstream. */
-    private final class OpenSend implements AnswerSink, UpstreamPool.Taker {
-        private final UpstreamChooser.Choice mChoice;
-
-        /** The weights that the engine is believed to have. */
-        private final int mVersion;
-
-        private long mStartedAt;
-        private long mHeardAt;
-        private long mGivenUntil;
-        private UpstreamConnection mConnection;
-        private boolean mSent;
-        private boolean mPrefilled;
-        private boolean mClosed;
-        private HttpResponse mResponse;
-        private AnswerHead mAnswerHead;
-        private CompositeByteBuf mAnswer;
-
-        OpenSend(UpstreamChooser.Choice choice) {
-            mChoice = choice;
-            mVersion = mHead.prompt().map(choice.load()::version).orElse(0);
-        }
-
-        Upstream upstream() {
-            return mChoice.load().upstream();
-        }
-
-        void start(long now) {
-            mStartedAt = now;
-            mHeardAt = now;
-            mGivenUntil = now;
-            mSends++;
-            mChoice.load().sent(mChoice.uncachedTokens());
-            mGateway.log()
-                    .record(
-                            GatewayEvent.REQUEST_PLACED,
-                            "request",
-                            mHead.id(),
-                            "route",
-                            mRoute.name(),
-                            "upstream",
-                            upstream().id(),
-                            "uncached",
-                            mChoice.uncachedTokens(),
-                            "in_flight",
-                            mChoice.load().inFlight(),
-                            "config",
-                            mGateway.configVersion());
-            mGateway.pool().take(upstream(), this);
-        }
-
-        @Override
-        public void onConnection(UpstreamConnection connection) {
-            if (mClosed) {
-                mGateway.pool().giveBack(connection);
-                return;
-            }
-            mConnection = connection;
-            mSent = true;
-            mPlaced.ifPresent(this::noteCached);
-            long left = Math.max(1, (mDeadline - mGateway.now()) / NANOS_PER_MILLI);
-            HttpHeaders headers =
-                    mGateway.dialect()
-                            .writeSend(
-                                    mHeaders,
-                                    new Send(
-                                            upstream(),
-                                            left,
-                                            mAccess.map(a -> a.workspace().value()),
-                                            urgency(),
-                                            resumeAfter(),
-                                            engineSend()));
-            connection.send(mHead.id(), mMethod, mUri, headers, mBody, this);
-            armTimer(nextCheck());
-        }
-
-        private Optional<Send.EngineSend> engineSend() {
-            return mPlaced.map(
-                    p ->
-                            new Send.EngineSend(
-                                    p.scope(mVersion),
-                                    mVersion,
-                                    mChoice.source(),
-                                    mChoice.keepAt(),
-                                    mChoice.backup().filter(b -> mBacksUp),
-                                    mContinuesCopy));
-        }
-
-        private void noteCached(UpstreamChooser.PlacedPrompt placed) {
-            long[] keys = placed.prompt().keys(placed.scope(mVersion));
-            mChoice.load().cached().sent(placed.prompt(), keys, mGateway.now());
-            if (mChoice.keepAt().isPresent()) {
-                placed.kept()
-                        .ifPresent(k -> k.cached().sent(placed.prompt(), keys, mGateway.now()));
-            }
-        }
-
-        private OptionalLong resumeAfter() {
-            if (mEvents.lastId().isPresent()) {
-                return mEvents.lastId();
-            }
-            return mContinuesCopy ? OptionalLong.of(0) : mHead.lastEvent();
-        }
-
-        private OptionalInt urgency() {
-            if (mHead.prompt().isEmpty()) {
-                return OptionalInt.empty();
-            }
-            OptionalInt own = mAccess.map(WorkspaceAccess::priority).orElse(OptionalInt.empty());
-            return own.isPresent() ? own : OptionalInt.of(mRoute.priority());
-        }
-
-        @Override
-        public void onNoConnection(String reason) {
-            if (!mClosed) {
-                onSendFailed(this, SendFailure.NOT_CONNECTED, reason);
-            }
-        }
-
-        @Override
-        public void onHead(HttpResponse response, AnswerHead head) {
-            noteHeard();
-            mResponse = response;
-            mAnswerHead = head;
-            head.weightsVersion().ifPresent(this::sawVersion);
-            if (!isEventStream()) {
-                mAnswer = Unpooled.compositeBuffer();
-            } else if (!head.sealed() || head.encoded()) {
-                fail(SendFailure.GARBLED, "stream without signature");
-            }
-        }
-
-        private void noteHeard() {
-            mHeardAt = mGateway.now();
-            mChoice.load().heard(mHeardAt);
-        }
-
-        private void sawVersion(int version) {
-            mHead.prompt().ifPresent(p -> mChoice.load().sawVersion(p.model(), version));
-        }
-
-        private boolean isEventStream() {
-            return mRoute.kind() == CallKind.STREAM
-                    && mResponse.status().equals(HttpResponseStatus.OK);
-        }
-
-        @Override
-        public void onContent(ByteBuf content) {
-            if (mClosed) {
-                content.release();
-                return;
-            }
-            noteHeard();
-            if (mAnswer != null) {
-                mAnswer.addComponent(true, content);
-                if (mAnswer.readableBytes() > MAX_ANSWER_BYTES) {
-                    fail(SendFailure.GARBLED, "answer too long");
-                }
-                return;
-            }
-            ByteBuf events;
-            try {
-                events = mEvents.take(content);
-            } catch (IllegalArgumentException e) {
-                fail(SendFailure.GARBLED, e.getMessage());
-                return;
-            }
-            if (events.isReadable()) {
-                pass(events);
-            }
-        }
-
-        private void pass(ByteBuf events) {
-            prefilled();
-            if (!mStreaming) {
-                mStreaming = true;
-                mGateway.metrics().firstEvent(mHeardAt - mArrivedAt);
-                mFront.startStream(
-                        mResponse.status(), mGateway.dialect().writeAnswer(mResponse.headers()));
-            }
-            mFront.streamPart(events);
-        }
-
-        private void prefilled() {
-            if (mPrefilled) {
-                return;
-            }
-            mPrefilled = true;
-            mChoice.load().prefilled(mChoice.uncachedTokens());
-            double taken = mHeardAt - mStartedAt;
-            double expected =
-                    mHead.prompt().isPresent()
-                            ? mChoice.expectedNanos()
-                            : mRoute.goal().toNanos() / 4.0;
-            if (expected > 0) {
-                mChoice.load().measured(taken / expected);
-            }
-        }
-
-        @Override
-        public void onEnd() {
-            if (mClosed) {
-                return;
-            }
-            mConnection = null;
-            if (mAnswer == null) {
-                endStream();
-            } else {
-                endPlain();
-            }
-        }
-
-        private void endStream() {
-            if (mEvents.isInEvent() || !mStreaming) {
-                onSendFailed(this, SendFailure.BROKEN, "stream ended within an event");
-                return;
-            }
-            mChoice.load().answered(true, mGateway.now());
-            mFront.endStream();
-            finish("answered");
-        }
-
-        private void endPlain() {
-            int status = mResponse.status().code();
-            if (mAnswerHead.misdirected()) {
-                noteMisdirected();
-            }
-            if (mAnswerHead.notRun() || mAnswerHead.misdirected()) {
-                onSendFailed(this, SendFailure.REJECTED, "status " + status);
-            } else if (mAnswerHead.encoded() || (isSuccess(status) && !mAnswerHead.sealed())) {
-                onSendFailed(this, SendFailure.GARBLED, "answer without signature");
-            } else if (isError(status) && mayTryElsewhere()) {
-                onSendFailed(this, SendFailure.ERROR_ANSWER, "status " + status);
-            } else {
-                passPlain(status);
-            }
-        }
-
-        /** Either another process has the address, or the engine has other weights by now. */
-        private void noteMisdirected() {
-            boolean otherProcess =
-                    mAnswerHead.instance().filter(i -> !i.equals(upstream().id())).isPresent();
-            if (otherProcess) {
-                mChoice.load().unreachable(mGateway.now());
-            } else if (mAnswerHead.weightsVersion().isEmpty()) {
-                mHead.prompt()
-                        .map(p -> mGateway.versions().newest(p.model()))
-                        .ifPresent(this::sawVersion);
-            }
-        }
-
-        private boolean mayTryElsewhere() {
-            long now = mGateway.now();
-            long left = mDeadline - now;
-            mRetryPaid =
-                    !mCallerGone
-                            && RetryRule.mayPlaceAgain(
-                                    mRoute, SendFailure.ERROR_ANSWER, mRuns + 1, mRejections, left)
-                            && mGateway.loads(mService).size() > mExcluded.size() + 1
-                            && mBudget.tryRetry(now, mGateway.instances());
-            return mRetryPaid;
-        }
-
-        private void passPlain(int status) {
-            prefilled();
-            mChoice.load().answered(!isError(status), mGateway.now());
-            if (!mCallerGone) {
-                ByteBuf answer = mAnswer;
-                mAnswer = null;
-                mFront.reply(
-                        mResponse.status(),
-                        mGateway.dialect().writeAnswer(mResponse.headers()),
-                        answer);
-            }
-            finish("answered");
-        }
-
-        @Override
-        public void onFailure(SendFailure failure, String reason) {
-            if (!mClosed) {
-                mConnection = null;
-                onSendFailed(this, failure, reason);
-            }
-        }
-
-        private void fail(SendFailure failure, String reason) {
-            onSendFailed(this, failure, reason);
-        }
+    @Override
+    public void onSent() {
+        armTimer(nextCheck());
+    }
 
-        boolean isSilent(long now) {
-            return silentAt() - now <= 0;
+    @Override
+    public void onEvents(UpstreamSend send, ByteBuf events) {
+        if (!mStreaming) {
+            mStreaming = true;
+            mGateway.metrics().firstEvent(send.heardAt() - mArrivedAt);
+            HttpResponse response = send.response();
+            mFront.startStream(
+                    response.status(), mGateway.dialect().writeAnswer(response.headers()));
         }
+        mFront.streamPart(events);
+    }
 
-        void giveTime(long now) {
-            mGivenUntil = now + MORE_TIME_NANOS;
+    @Override
+    public void onStreamEnd(UpstreamSend send) {
+        if (mEvents.isInEvent() || !mStreaming) {
+            onSendFailed(send, SendFailure.BROKEN, "stream ended within an event");
+            return;
         }
+        send.load().answered(true, mGateway.now());
+        mFront.endStream();
+        finish("answered");
+    }
 
-        /** When the upstream has been silent for too long, the deadline if it can not be. */
-        long silentAt() {
-            return Math.max(mGivenUntil, usuallySilentAt());
+    @Override
+    public void onPlainAnswer(UpstreamSend send) {
+        int status = send.response().status().code();
+        AnswerHead head = send.answerHead();
+        if (head.misdirected()) {
+            noteMisdirected(send);
+        }
+        if (head.notRun() || head.misdirected()) {
+            onSendFailed(send, SendFailure.REJECTED, "status " + status);
+        } else if (head.encoded() || (isSuccess(status) && !head.sealed())) {
+            onSendFailed(send, SendFailure.GARBLED, "answer without signature");
+        } else if (isError(status) && mayTryElsewhere()) {
+            onSendFailed(send, SendFailure.ERROR_ANSWER, "status " + status);
+        } else {
+            passPlain(send, status);
         }
+    }
 
-        private long usuallySilentAt() {
-            boolean copied = mBacksUp && mStreaming && !mContinuesCopy;
-            boolean mayMove = mRoute.mayRunAgain() && mRuns + 1 < mRoute.attempts();
-            if (!mSent || !(copied || mayMove)) {
-                return mDeadline;
-            }
-            if (mRoute.kind() == CallKind.STREAM) {
-                return mHeardAt + (mStreaming || !isAtWork() ? SILENT_STREAM_NANOS : QUEUED_NANOS);
-            }
-            return mStartedAt + (long) (SILENT_GOALS * mRoute.goal().toNanos());
+    /** Either another process has the address, or the engine has other weights by now. */
+    private void noteMisdirected(UpstreamSend send) {
+        AnswerHead head = send.answerHead();
+        if (head.instance().filter(i -> !i.equals(send.upstream().id())).isPresent()) {
+            send.load().unreachable(mGateway.now());
+        } else if (head.weightsVersion().isEmpty()) {
+            mCall.head()
+                    .prompt()
+                    .map(p -> mGateway.versions().newest(p.model()))
+                    .ifPresent(send::sawVersion);
         }
+    }
 
-        /** Tells whether the upstream answers others, so that this request waits in its queue. */
-        private boolean isAtWork() {
-            return mChoice.load().isAudible(mGateway.now(), SILENT_STREAM_NANOS / 2);
-        }
+    private boolean mayTryElsewhere() {
+        long now = mGateway.now();
+        long left = mDeadline - now;
+        mRetryPaid =
+                !mCallerGone
+                        && RetryRule.mayPlaceAgain(
+                                route(), SendFailure.ERROR_ANSWER, mRuns + 1, mRejections, left)
+                        && mGateway.loads(mService).size() > mExcluded.size() + 1
+                        && mBudget.tryRetry(now, mGateway.instances());
+        return mRetryPaid;
+    }
 
-        /** Gives the send up; what is still open of it is cancelled. */
-        void close() {
-            if (mClosed) {
-                return;
-            }
-            mClosed = true;
-            if (!mPrefilled) {
-                mPrefilled = true;
-                mChoice.load().prefilled(mChoice.uncachedTokens());
-            }
-            mChoice.load().ended();
-            if (mAnswer != null) {
-                mAnswer.release();
-                mAnswer = null;
-            }
-            if (mConnection != null) {
-                mConnection.cancel();
-                mConnection = null;
-            }
+    private void passPlain(UpstreamSend send, int status) {
+        send.prefilled();
+        send.load().answered(!isError(status), mGateway.now());
+        if (!mCallerGone) {
+            HttpResponse response = send.response();
+            HttpHeaders headers = mGateway.dialect().writeAnswer(response.headers());
+            mFront.reply(response.status(), headers, send.takeAnswer());
         }
+        finish("answered");
     }
 
     private static boolean isSuccess(int status) {
