--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -76,7 +76,9 @@
      * @param backup an engine with the same weights that can keep a copy of the run's memory
      * @param keepAt where it is to send the prompt for others, empty for nowhere
      * @param uncachedTokens the prompt tokens that it has to compute, 0 for a plain service
-     * @param expectedNanos the time that an ordinary upstream would need, without its queue
+     * @param expectedNanos the time that an ordinary engine would need to the first token
+     * @param firstTokenNanos the time that this engine is expected to need, its speed and the
+     *     requests that run there considered; 0 for a plain service
      */
     public record Choice(
             UpstreamLoad load,
@@ -84,10 +86,11 @@
             Optional<Upstream> backup,
             Optional<HostAndPort> keepAt,
             long uncachedTokens,
-            double expectedNanos) {
+            double expectedNanos,
+            double firstTokenNanos) {
         /** Returns a choice for which nothing is to be computed or copied. */
         public static Choice of(UpstreamLoad load) {
-            return new Choice(load, Optional.empty(), Optional.empty(), Optional.empty(), 0, 0);
+            return new Choice(load, Optional.empty(), Optional.empty(), Optional.empty(), 0, 0, 0);
         }
     }
 
@@ -227,7 +230,8 @@
                 backup,
                 keepAt,
                 choice.uncachedTokens(),
-                choice.expectedNanos());
+                choice.expectedNanos(),
+                choice.firstTokenNanos());
     }
 
     /** Tells whether shared parts are long, and the store lacks some of them. */
@@ -251,6 +255,7 @@
     }
 
     private Choice choice(Candidate candidate, List<Candidate> all, PlacedPrompt placed, long now) {
+        UpstreamLoad load = candidate.mLoad;
         long cached = candidate.mCached;
         Optional<Source> source = source(candidate, cached, all, placed, now);
         long fetched = source.map(Source::tokens).orElse(cached) - cached;
@@ -259,20 +264,20 @@
                 FIRST_TOKEN_NANOS
                         + uncached * NANOS_PER_TOKEN
                         + fetched * placed.fetchNanosPerToken() * FETCH_SHARE_ACROSS
-                        + pendingTokens(candidate.mLoad) * NANOS_PER_TOKEN;
+                        + pendingTokens(load) * NANOS_PER_TOKEN;
         return new Choice(
-                candidate.mLoad,
+                load,
                 source.map(Source::address),
                 Optional.empty(),
                 Optional.empty(),
                 uncached,
-                expected);
+                expected,
+                load.slowness() * (expected + requests(load) * NANOS_PER_RUN));
     }
 
-    private double cost(Choice choice, Candidate candidate, PlacedPrompt placed, long now) {
+    private static double cost(Choice choice, Candidate candidate, PlacedPrompt placed, long now) {
         UpstreamLoad load = candidate.mLoad;
-        double cost = load.slowness() * (choice.expectedNanos() + requests(load) * NANOS_PER_RUN);
-        cost *= 1 + ERROR_WEIGHT * load.errorShare(now);
+        double cost = choice.firstTokenNanos() * (1 + ERROR_WEIGHT * load.errorShare(now));
         return cost + (candidate.mVersion < placed.newestVersion() ? OLD_WEIGHTS_NANOS : 0);
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -74,6 +74,10 @@
 
     private boolean mContinuesCopy;
     private boolean mStreaming;
+
+    /** When a stream began, 0 before that. */
+    private long mFirstEventAt;
+
     private boolean mDone;
     private boolean mCallerGone;
     private ScheduledFuture<?> mTimer;
@@ -171,6 +175,8 @@
                         choice.uncachedTokens(),
                         "source",
                         choice.source().map(HostAndPort::toString).orElse("none"),
+                        "expected_ms",
+                        (long) (choice.firstTokenNanos() / NANOS_PER_MILLI),
                         "in_flight",
                         choice.load().inFlight(),
                         "peer_requests",
@@ -463,6 +469,8 @@
                         outcome,
                         "sends",
                         mSends,
+                        "first_ms",
+                        mFirstEventAt == 0 ? -1 : millisSince(mArrivedAt, mFirstEventAt),
                         "took_ms",
                         millisSince(mArrivedAt, now));
         mGateway.closed(this);
@@ -481,7 +489,8 @@
     public void onEvents(UpstreamSend send, ByteBuf events) {
         if (!mStreaming) {
             mStreaming = true;
-            mGateway.metrics().firstEvent(send.heardAt() - mArrivedAt);
+            mFirstEventAt = send.heardAt();
+            mGateway.metrics().firstEvent(mFirstEventAt - mArrivedAt);
             HttpResponse response = send.response();
             mFront.startStream(
                     response.status(), mGateway.dialect().writeAnswer(response.headers()));
