Admit prompts by the wait that they would have

Ruled out: placement (expected and seen times agree), the retry budget (143 sends again in all). A prompt that would wait longer than its rank allows is now told at once when to come back, and one whose caller would be gone is told so. Only the wait counts, not the prompt's own length, so that long prompts are not turned away more often.

--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -79,6 +79,7 @@
      * @param expectedNanos the time that an ordinary engine would need to the first token
      * @param firstTokenNanos the time that this engine is expected to need, its speed and the
      *     requests that run there considered; 0 for a plain service
+     * @param waitNanos the part of it that is spent behind other requests
      */
     public record Choice(
             UpstreamLoad load,
@@ -87,10 +88,12 @@
             Optional<HostAndPort> keepAt,
             long uncachedTokens,
             double expectedNanos,
-            double firstTokenNanos) {
+            double firstTokenNanos,
+            double waitNanos) {
         /** Returns a choice for which nothing is to be computed or copied. */
         public static Choice of(UpstreamLoad load) {
-            return new Choice(load, Optional.empty(), Optional.empty(), Optional.empty(), 0, 0, 0);
+            return new Choice(
+                    load, Optional.empty(), Optional.empty(), Optional.empty(), 0, 0, 0, 0);
         }
     }
 
@@ -231,7 +234,8 @@
                 keepAt,
                 choice.uncachedTokens(),
                 choice.expectedNanos(),
-                choice.firstTokenNanos());
+                choice.firstTokenNanos(),
+                choice.waitNanos());
     }
 
     /** Tells whether shared parts are long, and the store lacks some of them. */
@@ -260,11 +264,13 @@
         Optional<Source> source = source(candidate, cached, all, placed, now);
         long fetched = source.map(Source::tokens).orElse(cached) - cached;
         long uncached = Math.max(0, placed.prompt().tokens() - cached - fetched);
+        double queue = pendingTokens(load) * NANOS_PER_TOKEN;
         double expected =
                 FIRST_TOKEN_NANOS
                         + uncached * NANOS_PER_TOKEN
                         + fetched * placed.fetchNanosPerToken() * FETCH_SHARE_ACROSS
-                        + pendingTokens(load) * NANOS_PER_TOKEN;
+                        + queue;
+        double runs = requests(load) * NANOS_PER_RUN;
         return new Choice(
                 load,
                 source.map(Source::address),
@@ -272,7 +278,8 @@
                 Optional.empty(),
                 uncached,
                 expected,
-                load.slowness() * (expected + requests(load) * NANOS_PER_RUN));
+                load.slowness() * (expected + runs),
+                load.slowness() * (queue + runs));
     }
 
     private static double cost(Choice choice, Candidate candidate, PlacedPrompt placed, long now) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/AdmittedCall.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/AdmittedCall.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * A caller's request that may pass, as it came.
@@ -67,4 +68,10 @@
                 .map(a -> a.workspace().value())
                 .orElse(SHARED_SCOPE);
     }
+
+    /** Returns its rank at an engine, 0 first; the workspace's goes before the route's. */
+    int urgency() {
+        OptionalInt own = access.map(WorkspaceAccess::priority).orElse(OptionalInt.empty());
+        return own.orElse(route.priority());
+    }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -6,10 +6,12 @@
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.RequestId;
 import org.catkinproxy.id.ServiceId;
+import org.catkinproxy.serving.AdmissionRule;
 import org.catkinproxy.serving.CallKind;
 import org.catkinproxy.serving.EngineLimits;
 import org.catkinproxy.serving.Prompt;
 import org.catkinproxy.serving.RetryRule;
+import org.catkinproxy.serving.ReturnTimes;
 import org.catkinproxy.serving.Route;
 import org.catkinproxy.serving.SendFailure;
 import org.catkinproxy.serving.SharedRetryBudget;
@@ -153,7 +155,35 @@
             refuse(ErrorCode.NO_UPSTREAM, "no upstream takes requests");
             return;
         }
-        begin(choice.get());
+        AdmissionRule.Verdict verdict = admission(choice.get(), now);
+        if (verdict.admits()) {
+            begin(choice.get());
+        } else {
+            refuseForLoad(choice.get(), verdict);
+        }
+    }
+
+    /** A prompt that was sent before, or that goes on from events, is not turned away any more. */
+    private AdmissionRule.Verdict admission(UpstreamChooser.Choice choice, long now) {
+        if (mPlaced.isEmpty() || mSends > 0 || mCall.head().lastEvent().isPresent()) {
+            return AdmissionRule.Verdict.ADMIT;
+        }
+        return AdmissionRule.decide(
+                route(),
+                mCall.urgency(),
+                choice.waitNanos(),
+                choice.firstTokenNanos(),
+                mDeadline - now);
+    }
+
+    private void refuseForLoad(UpstreamChooser.Choice choice, AdmissionRule.Verdict verdict) {
+        long waitMillis = (long) (choice.waitNanos() / NANOS_PER_MILLI);
+        long leftMillis = (mDeadline - mGateway.now()) / NANOS_PER_MILLI;
+        long comeBack = ReturnTimes.afterMillis(waitMillis, leftMillis, mGateway.random());
+        refuse(
+                ErrorCode.DEADLINE_UNREACHABLE,
+                verdict + ": " + waitMillis + " ms behind others at the best engine",
+                comeBack);
     }
 
     private void begin(UpstreamChooser.Choice choice) {
@@ -419,6 +449,11 @@
     }
 
     private void refuse(ErrorCode code, String reason) {
+        long leftMillis = (mDeadline - mGateway.now()) / NANOS_PER_MILLI;
+        refuse(code, reason, ReturnTimes.afterMillis(0, leftMillis, mGateway.random()));
+    }
+
+    private void refuse(ErrorCode code, String reason, long comeBackMillis) {
         long leftMillis = (mDeadline - mGateway.now()) / NANOS_PER_MILLI;
         mGateway.log()
                 .record(
@@ -433,9 +468,11 @@
                         mSends,
                         "left_ms",
                         leftMillis,
+                        "come_back_ms",
+                        comeBackMillis,
                         "config",
                         mGateway.configVersion());
-        mFront.refuse(code, mGateway.retryAfterMillis(leftMillis));
+        mFront.refuse(code, comeBackMillis);
         finish("refused");
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/FrontConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/FrontConnection.java
@@ -2,6 +2,7 @@
 
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.serving.ReturnTimes;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
@@ -155,7 +156,7 @@
         } catch (CatkinException e) {
             body.release();
             mGateway.refused(request.headers(), e);
-            refuse(e.code(), mGateway.retryAfterMillis(Long.MAX_VALUE));
+            refuse(e.code(), ReturnTimes.afterMillis(0, Long.MAX_VALUE, mGateway.random()));
         }
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -44,6 +44,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 /**
@@ -62,8 +63,6 @@
     private static final int UNKNOWN_FOLLOWERS = 8;
 
     private static final long SWEEP_MILLIS = 250;
-    private static final long LEAST_RETRY_AFTER_MILLIS = 150;
-    private static final long RETRY_AFTER_SPREAD_MILLIS = 450;
 
     private final EventLoop mLoop;
     private final GatewaySettings mSettings;
@@ -322,10 +321,8 @@
         mFrontListener.close();
     }
 
-    /** Returns when callers are to come back, spread so that they do not come back together. */
-    long retryAfterMillis(long leftMillis) {
-        long spread = LEAST_RETRY_AFTER_MILLIS + mRandom.nextLong(RETRY_AFTER_SPREAD_MILLIS);
-        return Math.max(1, Math.min(spread, leftMillis / 3));
+    RandomGenerator random() {
+        return mRandom;
     }
 
     long now() {
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamSend.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamSend.java
@@ -6,7 +6,6 @@
 import org.catkinproxy.serving.Upstream;
 import org.catkinproxy.serving.UpstreamChooser;
 import org.catkinproxy.serving.UpstreamLoad;
-import org.catkinproxy.serving.WorkspaceAccess;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
@@ -199,7 +198,7 @@
                         upstream(),
                         Math.max(1, left),
                         mCall.access().map(a -> a.workspace().value()),
-                        urgency(),
+                        mPlaced.isPresent() ? OptionalInt.of(mCall.urgency()) : OptionalInt.empty(),
                         mContinuation.afterEvent(),
                         mPlaced.map(this::engineSend));
         return mGateway.dialect().writeSend(mCall.headers(), send);
@@ -215,14 +214,6 @@
                 mContinuation.fromCopy());
     }
 
-    private OptionalInt urgency() {
-        if (mPlaced.isEmpty()) {
-            return OptionalInt.empty();
-        }
-        OptionalInt own = mCall.access().map(WorkspaceAccess::priority).orElse(OptionalInt.empty());
-        return own.isPresent() ? own : OptionalInt.of(mCall.route().priority());
-    }
-
     private void noteCached(UpstreamChooser.PlacedPrompt placed) {
         long now = mGateway.now();
         long[] keys = placed.prompt().keys(placed.scope(mVersion));
