Put news of caches together, and let few instances ask for the lease

Cause: on the grown site each answer of an engine's events became 80 datagrams, so that the processes took 268 s of processor time, before 187; and each named version made all 82 instances ask for the lease.

--- a/core/src/main/java/org/catkinproxy/serving/PeerLoads.java
+++ b/core/src/main/java/org/catkinproxy/serving/PeerLoads.java
@@ -13,13 +13,12 @@
  *
  * <p>Answers the load pattern of many instances that each send a small part of the traffic: what
  * one of them has open itself then says nearly nothing of an upstream's queue. What a peer told
- * holds until it tells anew, or for the time to live. Times are nanoseconds of the owner's
+ * holds until it tells anew, or until the owner drops it. Times are nanoseconds of the owner's
  * monotonic clock. Not safe for use by several threads.
  */
 public final class PeerLoads {
     private static final Share NOTHING = new Share(0, 0);
 
-    private final long mTtlNanos;
     private final Map<InstanceId, Told> mPeers = new HashMap<>();
     private final Map<InstanceId, Share> mTotals = new HashMap<>();
 
@@ -48,14 +47,11 @@
     /** What one peer told last. */
     private record Told(Map<InstanceId, Share> shares, long at) {}
 
-    private PeerLoads(long ttlNanos) {
-        mTtlNanos = ttlNanos;
-    }
+    private PeerLoads() {}
 
-    /** Returns loads of which nothing was told; what a peer tells holds for {@code ttlNanos}. */
-    public static PeerLoads of(long ttlNanos) {
-        checkArgument(ttlNanos > 0, "ttlNanos: %s", ttlNanos);
-        return new PeerLoads(ttlNanos);
+    /** Returns loads of which nothing was told. */
+    public static PeerLoads create() {
+        return new PeerLoads();
     }
 
     /** Takes all that {@code peer} has open, by upstream. */
@@ -64,12 +60,12 @@
         shares.forEach((upstream, share) -> mTotals.merge(upstream, share, Share::plus));
     }
 
-    /** Drops what is older than the time to live. */
-    public void expire(long now) {
+    /** Drops what was told longer than {@code ttlNanos} ago. */
+    public void expire(long now, long ttlNanos) {
         Iterator<Told> peers = mPeers.values().iterator();
         while (peers.hasNext()) {
             Told told = peers.next();
-            if (now - told.at() > mTtlNanos) {
+            if (now - told.at() > ttlNanos) {
                 peers.remove();
                 forget(told);
             }
--- a/core/src/test/java/org/catkinproxy/serving/PeerLoadsTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/PeerLoadsTest.java
@@ -22,7 +22,7 @@
 
     @Example
     void newsOfPeerReplaceItsEarlierNews() {
-        PeerLoads loads = PeerLoads.of(TTL);
+        PeerLoads loads = PeerLoads.create();
         loads.told(InstanceId.of("a"), Map.of(ENGINE, new Share(3, 900)), 0);
         loads.told(InstanceId.of("b"), Map.of(ENGINE, new Share(1, 50)), 0);
         loads.told(InstanceId.of("a"), Map.of(ENGINE, new Share(2, 100)), 1);
@@ -33,13 +33,13 @@
 
     @Example
     void silentPeerCountsForTheTimeToLive() {
-        PeerLoads loads = PeerLoads.of(TTL);
+        PeerLoads loads = PeerLoads.create();
         loads.told(InstanceId.of("a"), Map.of(ENGINE, new Share(3, 900)), 0);
 
-        loads.expire(TTL);
+        loads.expire(TTL, TTL);
         assertThat(loads.at(ENGINE).requests()).isEqualTo(3);
 
-        loads.expire(TTL + 1);
+        loads.expire(TTL + 1, TTL);
         assertThat(loads.at(ENGINE)).isEqualTo(new Share(0, 0));
         assertThat(loads.peers()).isEqualTo(0);
     }
@@ -48,7 +48,7 @@
     @Property
     void sumsAreThoseOfAddingUpAnew(
             @ForAll @Size(max = 60) List<@IntRange(max = 3 * 4 * 5 - 1) Integer> steps) {
-        PeerLoads loads = PeerLoads.of(TTL);
+        PeerLoads loads = PeerLoads.create();
         Map<Integer, Map<InstanceId, Share>> naive = new HashMap<>();
         for (int step : steps) {
             int peer = step % 3;
--- a/core/src/test/java/org/catkinproxy/serving/UpstreamChooserTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/UpstreamChooserTest.java
@@ -20,7 +20,7 @@
 class UpstreamChooserTest {
     private static final double FETCH_NANOS = 7_000;
 
-    private final PeerLoads mPeers = PeerLoads.of(10 * Samples.SECOND);
+    private final PeerLoads mPeers = PeerLoads.create();
     private final UpstreamChooser mChooser = UpstreamChooser.of(new SplittableRandom(1), mPeers);
     private final NamedVersions mVersions = NamedVersions.of(10 * Samples.SECOND);
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/CacheKnowledge.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CacheKnowledge.java
@@ -6,6 +6,7 @@
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.serving.CacheDuty;
 import org.catkinproxy.serving.CachedPrompts;
+import org.catkinproxy.serving.FleetPace;
 
 import java.net.InetSocketAddress;
 import java.util.Collection;
@@ -49,6 +50,8 @@
         private final CachedPrompts mCached;
         private final int mFollowers;
         private final BooleanSupplier mWanted;
+        private final Map<Long, Integer> mUntold = new HashMap<>();
+        private boolean mUntoldFresh;
         private CacheDuty mDuty = CacheDuty.LISTEN;
 
         /** Counts the times that this instance began to follow, so that an earlier one ends. */
@@ -88,9 +91,23 @@
         }
 
         private void changed(Map<Long, Integer> parts, boolean fresh) {
-            if (mDuty.tells()) {
-                tell(parts, fresh, mPeers.values());
+            if (!mDuty.tells()) {
+                return;
+            }
+            if (fresh) {
+                mUntold.clear();
             }
+            mUntoldFresh |= fresh;
+            mUntold.putAll(parts);
+        }
+
+        /** Tells what has changed since the last time. */
+        void flush() {
+            if (mDuty.tells() && !mUntold.isEmpty()) {
+                tell(mUntold, mUntoldFresh, mPeers.values());
+            }
+            mUntold.clear();
+            mUntoldFresh = false;
         }
 
         void tellAll(Collection<InetSocketAddress> peers) {
@@ -125,6 +142,13 @@
         mGateway.loop()
                 .scheduleAtFixedRate(
                         this::renew, RENEWAL_MILLIS, RENEWAL_MILLIS, TimeUnit.MILLISECONDS);
+        flush();
+    }
+
+    private void flush() {
+        mCaches.values().forEach(Cache::flush);
+        long interval = FleetPace.cacheNews(mGateway.instances()).toMillis();
+        mGateway.loop().schedule(this::flush, interval, TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -56,9 +56,6 @@
     /** For each instance, changes of upstreams are put together for so long. */
     private static final Duration UPSTREAM_PAUSE = Duration.ofMillis(12);
 
-    /** What a peer told of its requests holds for so long. */
-    private static final long PEER_NEWS_NANOS = 2_500_000_000L;
-
     /** Followers that an engine takes while its service is not configured. */
     private static final int UNKNOWN_FOLLOWERS = 8;
 
@@ -73,7 +70,7 @@
     private final EventLog mLog;
     private final GatewayMetrics mMetrics = new GatewayMetrics();
     private final SplittableRandom mRandom = new SplittableRandom();
-    private final PeerLoads mPeerLoads = PeerLoads.of(PEER_NEWS_NANOS);
+    private final PeerLoads mPeerLoads = PeerLoads.create();
     private final UpstreamChooser mChooser = UpstreamChooser.of(mRandom, mPeerLoads);
     private final UpstreamPool mPool;
     private final Upstreams mUpstreams = new Upstreams(this);
@@ -241,7 +238,7 @@
         List.copyOf(mConnections).forEach(c -> c.closeIfOverdue(now));
         mPool.expire();
         mUpstreams.expire();
-        mPeerLoads.expire(now);
+        mPeerLoads.expire(now, FleetPace.silence(instances()).toNanos());
         mMembers.expire();
         mRollout.wake();
         mLog.flush();
--- a/gateway/src/main/java/org/catkinproxy/gateway/Members.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Members.java
@@ -6,6 +6,7 @@
 import com.google.common.net.InetAddresses;
 
 import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.serving.FleetPace;
 import org.catkinproxy.serving.PeerLoads;
 
 import java.io.IOException;
@@ -23,8 +24,8 @@
  * The instances that serve callers.
  *
  * <p>Each instance writes a row in the store once it is ready, by which the others find it. After
- * that they hear its heartbeats, in datagrams; one that has not been heard of for the time to live
- * is no longer named to callers. Used by the event loop only.
+ * that they hear its heartbeats, in datagrams; one that has not been heard of for a while is no
+ * longer named to callers. Used by the event loop only.
  */
 final class Members {
     private static final String TABLE = "members";
@@ -38,8 +39,6 @@
     /** A row that could not be written is written again after this time. */
     private static final long WRITE_AGAIN_MILLIS = 1_000;
 
-    private static final long TTL_NANOS = 3_500_000_000L;
-
     /** An instance that was heard of in this time may still have a part of the retry budget. */
     private static final long COUNTED_NANOS = 12_000_000_000L;
 
@@ -174,8 +173,9 @@
         }
     }
 
-    private static boolean isAlive(Member member, long now) {
-        return member != null && now - member.heardAt() < TTL_NANOS;
+    private boolean isAlive(Member member, long now) {
+        long silence = FleetPace.silence(mMembers.size()).toNanos();
+        return member != null && now - member.heardAt() < silence;
     }
 
     private void refresh() {
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerLink.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerLink.java
@@ -1,6 +1,7 @@
 package org.catkinproxy.gateway;
 
 import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.serving.FleetPace;
 import org.catkinproxy.serving.PeerLoads;
 import org.catkinproxy.serving.UpstreamLoad;
 
@@ -29,11 +30,6 @@
  * event loop only.
  */
 final class PeerLink {
-    private static final long LEAST_INTERVAL_MILLIS = 150;
-
-    /** The interval grows by this much with each peer, which bounds what an instance sends. */
-    private static final long INTERVAL_MILLIS_PER_PEER = 10;
-
     /** Upstreams in one heartbeat; an instance has requests open at few of many. */
     private static final int MAX_SHARES = 60;
 
@@ -64,9 +60,8 @@
     }
 
     private void heartbeats() {
-        int peers = mGateway.members().peers().size();
-        long interval = Math.max(LEAST_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_PEER * peers);
         heartbeat();
+        long interval = FleetPace.heartbeat(mGateway.instances()).toMillis();
         mGateway.loop().schedule(this::heartbeats, interval, TimeUnit.MILLISECONDS);
     }
 
@@ -112,7 +107,7 @@
         } else if (news instanceof PeerNews.CacheChange change) {
             mGateway.caches().told(change);
         } else if (news instanceof PeerNews.Rollout rollout) {
-            mGateway.rolloutNews().told(rollout.state());
+            mGateway.rolloutNews().heard(rollout.state());
         }
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/RolloutNews.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RolloutNews.java
@@ -20,15 +20,19 @@
 
     private static final long RENEWAL_NANOS = 500_000_000L;
 
+    private static final long LONG_AGO_NANOS = 3_600_000_000_000L;
+
     private final Gateway mGateway;
     private final InstanceId mSelf;
     private RolloutState mPublished = new RolloutState(Set.of(), Map.of());
     private long mPublishedAt;
+    private long mHeardAt;
     private Set<InstanceId> mChanging = Set.of();
 
     RolloutNews(Gateway gateway, InstanceId self) {
         mGateway = gateway;
         mSelf = self;
+        mHeardAt = gateway.now() - LONG_AGO_NANOS;
     }
 
     /** Tells the other instances of a state, unless they were told just now. */
@@ -39,12 +43,22 @@
         }
         mPublished = state;
         mPublishedAt = now;
-        told(state);
+        apply(state);
         mGateway.peers().tell(new PeerNews.Rollout(mSelf, state));
     }
 
-    /** Takes what the holder tells. */
-    void told(RolloutState state) {
+    /** Takes what the holder, another instance, tells. */
+    void heard(RolloutState state) {
+        mHeardAt = mGateway.now();
+        apply(state);
+    }
+
+    /** Returns for how long no other holder was heard of. */
+    long unheardNanos() {
+        return mGateway.now() - mHeardAt;
+    }
+
+    private void apply(RolloutState state) {
         long now = mGateway.now();
         for (UpstreamLoad load : mGateway.engineLoads()) {
             InstanceId id = load.upstream().id();
--- a/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
@@ -13,6 +13,7 @@
 import org.catkinproxy.order.LeaseMachine;
 import org.catkinproxy.order.LeaseRow;
 import org.catkinproxy.order.StoredLease;
+import org.catkinproxy.serving.LeaseTurn;
 import org.catkinproxy.serving.Upstream;
 import org.catkinproxy.serving.VersionRollout;
 
@@ -48,6 +49,10 @@
     private final VersionRollout mRollout = VersionRollout.create();
     private final RolloutNews mNews;
     private boolean mRunning;
+
+    /** Since when an engine has lacked weights, unless none does. */
+    private long mNeededSince;
+
     private Optional<FencingNumber> mHeld = Optional.empty();
 
     RolloutTask(
@@ -71,6 +76,7 @@
     void wake() {
         if (!mRunning) {
             mRunning = true;
+            mNeededSince = mGateway.now();
             mLoop.execute(this::tick);
         }
     }
@@ -89,7 +95,9 @@
             }
             return;
         }
-        mLease.handle(new LeaseEvent.Tick(), now).ifPresent(this::act);
+        if (mHeld.isPresent() || isOwnTurn(now)) {
+            mLease.handle(new LeaseEvent.Tick(), now).ifPresent(this::act);
+        }
         noteHolding(mLease.held(now));
         if (mHeld.isPresent()) {
             List<VersionRollout.Step> steps =
@@ -100,6 +108,11 @@
         mLoop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private boolean isOwnTurn(long now) {
+        int turn = LeaseTurn.turn(mSelf, mGateway.members().serving());
+        return LeaseTurn.asks(turn, now - mNeededSince, mNews.unheardNanos());
+    }
+
     private void noteHolding(Optional<FencingNumber> held) {
         if (held.equals(mHeld)) {
             return;
