--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -5,8 +5,11 @@
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.ModelId;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -22,8 +25,9 @@
  * the shared parts, rendezvous hashing names one that goes first, so that instances which do not
  * know of each other's requests send equal prompts to the same engine. Answers the load patterns of
  * one hot prompt (its cost at the home engine grows until another is cheaper), of upstreams of
- * unequal speed, and of upstreams that fail while they are listed. Not safe for use by several
- * threads.
+ * unequal speed, of upstreams that fail while they are listed, and of many instances that see the
+ * same late figures of the others (each considers only some upstreams, chosen at random). Not safe
+ * for use by several threads.
  */
 public final class UpstreamChooser {
     /** Time that an ordinary engine computes a prompt token. */
@@ -38,8 +42,8 @@
     /** Engines with old weights are used only if the others would be this much later. */
     private static final double OLD_WEIGHTS_NANOS = 400_000_000;
 
-    /** Less than this is computed rather than copied. */
-    private static final long LEAST_FETCH_TOKENS = 512;
+    /** Less than this is computed rather than copied: memory goes by blocks of about this size. */
+    private static final long LEAST_FETCH_TOKENS = 32;
 
     /** Copies between data centres take longer than within one. */
     private static final double FETCH_SHARE_ACROSS = 1.7;
@@ -52,7 +56,17 @@
     /** Costs that differ by less are taken as equal, so that ties spread. */
     private static final double JITTER = 0.2;
 
+    /** With more peers than this, all that see the same figures would choose the same upstream. */
+    private static final int FEW_PEERS = 10;
+
+    /** Of how many engines a request's are chosen where there are many peers. */
+    private static final int RANDOM_ENGINES = 4;
+
+    /** Of how many upstreams of a plain service. */
+    private static final int RANDOM_UPSTREAMS = 2;
+
     private final RandomGenerator mRandom;
+    private final PeerLoads mPeers;
 
     /**
      * The chosen upstream.
@@ -62,7 +76,10 @@
      * @param backup an engine with the same weights that can keep a copy of the run's memory
      * @param keepAt where it is to send the prompt for others, empty for nowhere
      * @param uncachedTokens the prompt tokens that it has to compute, 0 for a plain service
-     * @param expectedNanos the time that an ordinary upstream would need, without its queue
+     * @param expectedNanos the time that an ordinary engine would need to the first token
+     * @param firstTokenNanos the time that this engine is expected to need, its speed and the
+     *     requests that run there considered; 0 for a plain service
+     * @param waitNanos the part of it that is spent behind other requests
      */
     public record Choice(
             UpstreamLoad load,
@@ -70,10 +87,13 @@
             Optional<Upstream> backup,
             Optional<HostAndPort> keepAt,
             long uncachedTokens,
-            double expectedNanos) {
+            double expectedNanos,
+            double firstTokenNanos,
+            double waitNanos) {
         /** Returns a choice for which nothing is to be computed or copied. */
         public static Choice of(UpstreamLoad load) {
-            return new Choice(load, Optional.empty(), Optional.empty(), Optional.empty(), 0, 0);
+            return new Choice(
+                    load, Optional.empty(), Optional.empty(), Optional.empty(), 0, 0, 0, 0);
         }
     }
 
@@ -103,13 +123,18 @@
         }
     }
 
-    private UpstreamChooser(RandomGenerator random) {
+    private UpstreamChooser(RandomGenerator random, PeerLoads peers) {
         mRandom = random;
+        mPeers = peers;
     }
 
-    /** Returns a chooser that breaks ties by {@code random}. */
-    public static UpstreamChooser of(RandomGenerator random) {
-        return new UpstreamChooser(random);
+    /**
+     * Returns a chooser that breaks ties by {@code random}.
+     *
+     * @param peers what the other instances have open, kept up to date by the owner
+     */
+    public static UpstreamChooser of(RandomGenerator random, PeerLoads peers) {
+        return new UpstreamChooser(random, peers);
     }
 
     /** Returns the upstream of a plain service for a request, empty if none may have it. */
@@ -117,8 +142,8 @@
             Collection<UpstreamLoad> loads, Set<InstanceId> excluded, long now) {
         UpstreamLoad best = null;
         double least = Double.MAX_VALUE;
-        for (UpstreamLoad load : usable(loads, excluded, now)) {
-            double cost = load.slowness() * (1 + load.inFlight()) * jitter();
+        for (UpstreamLoad load : sample(usable(loads, excluded, now), RANDOM_UPSTREAMS)) {
+            double cost = load.slowness() * (1 + requests(load)) * jitter();
             cost *= 1 + ERROR_WEIGHT * load.errorShare(now);
             if (cost < least) {
                 least = cost;
@@ -138,7 +163,7 @@
         Candidate home = home(candidates, placed.prompt());
         Choice best = null;
         double least = Double.MAX_VALUE;
-        for (Candidate candidate : candidates) {
+        for (Candidate candidate : contenders(candidates, home)) {
             Choice choice = choice(candidate, candidates, placed, now);
             double cost = cost(choice, candidate, placed, now);
             if (candidate == home) {
@@ -152,15 +177,51 @@
         return Optional.ofNullable(best).map(c -> withCopies(c, candidates, placed, now));
     }
 
+    /** The engine that has most of the prompt, and some others where there are many peers. */
+    private Collection<Candidate> contenders(List<Candidate> candidates, Candidate home) {
+        if (mPeers.peers() <= FEW_PEERS) {
+            return candidates;
+        }
+        Set<Candidate> contenders = new LinkedHashSet<>(sample(candidates, RANDOM_ENGINES));
+        candidates.stream()
+                .filter(c -> c.mCached > 0)
+                .max(Comparator.comparingLong(c -> c.mCached))
+                .ifPresent(contenders::add);
+        if (home != null) {
+            contenders.add(home);
+        }
+        return contenders;
+    }
+
+    /** Some of them where there are many peers, else all. */
+    private <T> List<T> sample(List<T> all, int count) {
+        if (mPeers.peers() <= FEW_PEERS || all.size() <= count) {
+            return all;
+        }
+        List<T> rest = new ArrayList<>(all);
+        for (int i = 0; i < count; i++) {
+            Collections.swap(rest, i, i + mRandom.nextInt(rest.size() - i));
+        }
+        return rest.subList(0, count);
+    }
+
+    private int requests(UpstreamLoad load) {
+        return load.inFlight() + mPeers.at(load.upstream().id()).requests();
+    }
+
+    private long pendingTokens(UpstreamLoad load) {
+        return load.pendingTokens() + mPeers.at(load.upstream().id()).pendingTokens();
+    }
+
     /** Adds the least busy other engine with the same weights, and where to keep the prompt. */
-    private static Choice withCopies(
+    private Choice withCopies(
             Choice choice, List<Candidate> candidates, PlacedPrompt placed, long now) {
         Candidate chosen =
                 candidates.stream().filter(c -> c.mLoad == choice.load()).findFirst().orElseThrow();
         Optional<Upstream> backup =
                 candidates.stream()
                         .filter(c -> c != chosen && c.mVersion == chosen.mVersion)
-                        .min(Comparator.comparingInt(c -> c.mLoad.inFlight()))
+                        .min(Comparator.comparingInt(c -> requests(c.mLoad)))
                         .map(c -> c.mLoad.upstream());
         Optional<HostAndPort> keepAt =
                 placed.kept()
@@ -172,7 +233,9 @@
                 backup,
                 keepAt,
                 choice.uncachedTokens(),
-                choice.expectedNanos());
+                choice.expectedNanos(),
+                choice.firstTokenNanos(),
+                choice.waitNanos());
     }
 
     /** Tells whether shared parts are long, and the store lacks some of them. */
@@ -195,30 +258,33 @@
                 : usable;
     }
 
-    private static Choice choice(
-            Candidate candidate, List<Candidate> all, PlacedPrompt placed, long now) {
+    private Choice choice(Candidate candidate, List<Candidate> all, PlacedPrompt placed, long now) {
+        UpstreamLoad load = candidate.mLoad;
         long cached = candidate.mCached;
         Optional<Source> source = source(candidate, cached, all, placed, now);
         long fetched = source.map(Source::tokens).orElse(cached) - cached;
         long uncached = Math.max(0, placed.prompt().tokens() - cached - fetched);
+        double queue = pendingTokens(load) * NANOS_PER_TOKEN;
         double expected =
                 FIRST_TOKEN_NANOS
                         + uncached * NANOS_PER_TOKEN
                         + fetched * placed.fetchNanosPerToken() * FETCH_SHARE_ACROSS
-                        + candidate.mLoad.pendingTokens() * NANOS_PER_TOKEN;
+                        + queue;
+        double runs = requests(load) * NANOS_PER_RUN;
         return new Choice(
-                candidate.mLoad,
+                load,
                 source.map(Source::address),
                 Optional.empty(),
                 Optional.empty(),
                 uncached,
-                expected);
+                expected,
+                load.slowness() * (expected + runs),
+                load.slowness() * (queue + runs));
     }
 
     private static double cost(Choice choice, Candidate candidate, PlacedPrompt placed, long now) {
         UpstreamLoad load = candidate.mLoad;
-        double cost = load.slowness() * (choice.expectedNanos() + load.inFlight() * NANOS_PER_RUN);
-        cost *= 1 + ERROR_WEIGHT * load.errorShare(now);
+        double cost = choice.firstTokenNanos() * (1 + ERROR_WEIGHT * load.errorShare(now));
         return cost + (candidate.mVersion < placed.newestVersion() ? OLD_WEIGHTS_NANOS : 0);
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ConfigFollower.java
@@ -58,6 +58,19 @@
         }
     }
 
+    @Override
+    public void onBehind(long known, long told) {
+        mGateway.log()
+                .record(
+                        GatewayEvent.STORE_BEHIND,
+                        "table",
+                        "operators",
+                        "known",
+                        known,
+                        "told",
+                        told);
+    }
+
     @Override
     public void onDisconnected(CatkinException reason) {
         if (mConnected) {
@@ -96,6 +109,7 @@
         mConfig = Optional.of(config);
         mGateway.configChanged(config);
         mGateway.log().record(GatewayEvent.CONFIG_IN_FORCE, "version", config.version());
+        mGateway.learned();
     }
 
     private void takeVersion(RowReader.NamedVersion named) {
