Ask for changes of upstreams less often in large fleets

Changes are now put together for up to 1.6 s, and rows of members, which only a newcomer needs, are read every 16 s. Ruled out: the lease, which one instance asks for by now.

--- a/core/src/main/java/org/catkinproxy/serving/FleetPace.java
+++ b/core/src/main/java/org/catkinproxy/serving/FleetPace.java
@@ -16,7 +16,7 @@
     private static final Duration LEAST_WAIT = Duration.ofMillis(2_000);
     private static final Duration WAIT_PER_INSTANCE = Duration.ofMillis(300);
     private static final Duration LONGEST_WAIT = Duration.ofSeconds(16);
-    private static final Duration LONGEST_PAUSE = Duration.ofSeconds(1);
+    private static final Duration LONGEST_PAUSE = Duration.ofMillis(1_600);
 
     private static final Duration LEAST_HEARTBEAT = Duration.ofMillis(150);
     private static final Duration HEARTBEAT_PER_INSTANCE = Duration.ofMillis(15);
--- /dev/null
+++ b/core/src/test/java/org/catkinproxy/serving/FleetPaceTest.java
@@ -0,0 +1,41 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+
+/** What a fleet sends in all grows slower than the number of its instances squared. */
+class FleetPaceTest {
+    private static final Duration PAUSE = Duration.ofMillis(20);
+
+    /** Upstreams that leave get nothing two seconds after they said so, at the strictest site. */
+    @Property
+    void changesOfUpstreamsAreSeenInTime(@ForAll @IntRange(min = 1, max = 2_000) int instances) {
+        assertThat(FleetPace.pause(PAUSE, instances)).isLessThan(Duration.ofSeconds(2));
+    }
+
+    @Property
+    void largeFleetsAskLittleOften(@ForAll @IntRange(min = 60, max = 200) int instances) {
+        Duration wait = FleetPace.wait(instances, new SplittableRandom(instances));
+        assertThat(wait).isGreaterThan(Duration.ofSeconds(10));
+        assertThat(wait).isLessThan(Duration.ofSeconds(30));
+    }
+
+    @Property
+    void anInstanceSendsFewHeartbeats(@ForAll @IntRange(min = 1, max = 2_000) int instances) {
+        double each = instances * 1_000.0 / FleetPace.heartbeat(instances).toMillis();
+        assertThat(each).isAtMost(67);
+    }
+
+    @Property
+    void severalHeartbeatsAreMissedBeforeAnInstanceIsGone(
+            @ForAll @IntRange(min = 1, max = 2_000) int instances) {
+        Duration beat = FleetPace.heartbeat(instances);
+        assertThat(FleetPace.silence(instances)).isAtLeast(beat.multipliedBy(3));
+    }
+}
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -54,7 +54,7 @@
  */
 public final class Gateway {
     /** For each instance, changes of upstreams are put together for so long. */
-    private static final Duration UPSTREAM_PAUSE = Duration.ofMillis(12);
+    private static final Duration UPSTREAM_PAUSE = Duration.ofMillis(20);
 
     /** Followers that an engine takes while its service is not configured. */
     private static final int UNKNOWN_FOLLOWERS = 8;
--- a/gateway/src/main/java/org/catkinproxy/gateway/Members.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Members.java
@@ -33,8 +33,8 @@
     /** Rows only say where instances are; what they do, their heartbeats tell. */
     private static final long LEAST_LOOK_MILLIS = 2_000;
 
-    private static final long LOOK_MILLIS_PER_MEMBER = 100;
-    private static final long LONGEST_LOOK_MILLIS = 8_000;
+    private static final long LOOK_MILLIS_PER_MEMBER = 200;
+    private static final long LONGEST_LOOK_MILLIS = 16_000;
 
     /** A row that could not be written is written again after this time. */
     private static final long WRITE_AGAIN_MILLIS = 1_000;
