--- a/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
@@ -14,9 +14,9 @@
  * Follows one table of the store: reads it whole, then waits for changes.
  *
  * <p>A lost history is answered by reading the table again. After a failure the same position is
- * asked for again on another connection. A call that stays silent fails by its timeout, or is given
- * up once another instance tells of a change that it should have brought. Used by the event loop
- * only.
+ * asked for again on another connection, at first without a wait. A call that stays silent fails by
+ * its timeout, or is given up once another instance tells of a change that it should have brought.
+ * Used by the event loop only.
  */
 public final class TableWatch {
     private static final long FIRST_BACKOFF_MILLIS = 100;
@@ -68,6 +68,9 @@
     private Disposable mCall = Disposable.disposed();
     private boolean mChecking;
 
+    /** Whether the open call, if any, asks for an answer at once: after a failure, or if behind. */
+    private boolean mProbing;
+
     private TableWatch(
             EventLoop loop, TableStore store, String table, Listener listener, Pace pace) {
         mLoop = loop;
@@ -97,7 +100,7 @@
 
     /** Takes that another instance knows of a change with {@code version}. */
     public void toldOf(long version) {
-        if (version <= mVersion || mChecking || mVersion < 0) {
+        if (version <= mVersion || mChecking || mProbing || mVersion < 0) {
             return;
         }
         mChecking = true;
@@ -110,6 +113,7 @@
         if (version > mVersion && call == mCall && !call.isDisposed()) {
             mListener.onBehind(mVersion, version);
             call.dispose();
+            mProbing = true;
             next();
         }
     }
@@ -118,10 +122,15 @@
         mCall =
                 mVersion < 0
                         ? mStore.read(mTable).subscribe(this::onTable, this::onFailure)
-                        : mStore.changes(mTable, mVersion, mPace.longestWait())
+                        : mStore.changes(mTable, mVersion, callWait())
                                 .subscribe(this::onChanges, this::onFailure);
     }
 
+    /** A store that was away is asked without a wait, so that its silence is seen soon. */
+    private Duration callWait() {
+        return mProbing ? Duration.ZERO : mPace.longestWait();
+    }
+
     private void onTable(TableStore.Rows rows) {
         mListener.onConnected();
         mListener.onTable(rows.rows());
@@ -145,6 +154,7 @@
         mVersion = Math.max(mVersion, rows.version());
         rows.rows().forEach(r -> mNewestRow = Math.max(mNewestRow, r.version()));
         mBackoffMillis = FIRST_BACKOFF_MILLIS;
+        mProbing = false;
     }
 
     private void onFailure(Throwable failure) {
@@ -157,6 +167,7 @@
             throw new IllegalStateException("the watch of " + mTable + " failed", failure);
         }
         mListener.onDisconnected((CatkinException) failure);
+        mProbing = true;
         mLoop.schedule(this::next, mBackoffMillis, TimeUnit.MILLISECONDS);
         mBackoffMillis = Math.min(2 * mBackoffMillis, LONGEST_BACKOFF_MILLIS);
     }
--- a/gateway/src/test/java/org/catkinproxy/gateway/TableWatchTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/TableWatchTest.java
@@ -5,6 +5,8 @@
 import net.jqwik.api.Example;
 
 import org.catkinproxy.error.CatkinException;
+import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.error.Step;
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.reactivex.rxjava3.core.Single;
@@ -37,16 +39,31 @@
     void silentCallIsGivenUpOnceAnotherInstanceKnowsOfLaterChanges() {
         mWatch.toldOf(9);
         advance(200);
-        assertThat(mStore.openCalls()).containsExactly("changes after 5");
+        assertThat(mStore.openCalls()).containsExactly("changes after 5 wait 16");
 
         advance(200);
-        assertThat(mStore.openCalls()).containsExactly("changes after 5");
+        assertThat(mStore.openCalls()).containsExactly("changes after 5 wait 0");
         assertThat(mStore.mGivenUp).isEqualTo(1);
 
         mStore.answer(rows(9, row("b", 9)));
         assertThat(mSeen.mKeys).containsExactly("a", "b").inOrder();
     }
 
+    /** An instance that is cut from the store, while others tell of changes again and again. */
+    @Example
+    void callThatAsksAnewIsNotGivenUpSoThatItsFailureIsSeen() {
+        for (int i = 0; i < 10; i++) {
+            mWatch.toldOf(9 + i);
+            advance(400);
+        }
+        assertThat(mStore.mGivenUp).isEqualTo(1);
+
+        mStore.fail();
+        assertThat(mSeen.mLost).isEqualTo(1);
+        advance(150);
+        assertThat(mStore.openCalls()).containsExactly("changes after 5 wait 0");
+    }
+
     @Example
     void callIsKeptWhileNothingIsMissing() {
         mWatch.toldOf(4);
@@ -71,7 +88,7 @@
         assertThat(mStore.openCalls()).isEmpty();
 
         advance(200);
-        assertThat(mStore.openCalls()).containsExactly("changes after 6");
+        assertThat(mStore.openCalls()).containsExactly("changes after 6 wait 16");
     }
 
     private void advance(long millis) {
@@ -111,6 +128,14 @@
             mAnswers.remove(0).onSuccess(rows);
         }
 
+        void fail() {
+            mCalls.remove(0);
+            mAnswers.remove(0)
+                    .onError(
+                            CatkinException.notRun(
+                                    ErrorCode.STORE_UNAVAILABLE, Step.STORE, "store", "cut"));
+        }
+
         List<String> openCalls() {
             return mCalls;
         }
@@ -134,7 +159,7 @@
 
         @Override
         public Single<Rows> changes(String table, long after, Duration wait) {
-            return open("changes after " + after);
+            return open("changes after " + after + " wait " + wait.toSeconds());
         }
 
         @Override
@@ -160,6 +185,7 @@
 
     private static final class Seen implements TableWatch.Listener {
         private final List<String> mKeys = new ArrayList<>();
+        private int mLost;
 
         @Override
         public void onTable(List<TableRow> rows) {
@@ -181,7 +207,7 @@
 
         @Override
         public void onDisconnected(CatkinException reason) {
-            throw new AssertionError(reason);
+            mLost++;
         }
     }
 }
