Rank prompts by their route alone when some are turned away

A workspace's rank goes before the route's, so that notes of workspaces without the first rank were taken as not urgent, and their limit is half of their shorter goal.

--- a/core/src/main/java/org/catkinproxy/serving/AdmissionRule.java
+++ b/core/src/main/java/org/catkinproxy/serving/AdmissionRule.java
@@ -9,9 +9,11 @@
  * prompts then wait at the engines that are left until their callers give up, and what was computed
  * for these is lost, so that the queues never end. Prompts that wait less than their goal allows
  * are served; the others come back once, when there may be room, and may then wait longer. The more
- * urgent a route, the longer its prompts may wait, which leaves them room when little is left. Only
- * the wait counts, so that long prompts are not turned away more often than short ones. Stateless,
- * and so safe for use by any thread.
+ * urgent a route, the longer its prompts may wait, which leaves them room when little is left; the
+ * rank of a workspace is for the engines' queues and does not count here, since prompts of one kind
+ * would else be turned away before those of a less urgent kind. Only the wait counts, so that long
+ * prompts are not turned away more often than short ones. Stateless, and so safe for use by any
+ * thread.
  */
 public final class AdmissionRule {
     /** Callers give a stream up after a gap of this time at least. */
@@ -53,13 +55,12 @@
     /**
      * Decides.
      *
-     * @param urgency the prompt's rank, 0 first
      * @param waitNanos how long it would wait behind others at the best engine
      * @param firstTokenNanos how long its first token would take there, the wait included
      * @param leftNanos how long its caller still waits for the whole answer
      */
     public static Verdict decide(
-            Route route, int urgency, double waitNanos, double firstTokenNanos, long leftNanos) {
+            Route route, double waitNanos, double firstTokenNanos, long leftNanos) {
         if (waitNanos <= 0) {
             return Verdict.ADMIT;
         }
@@ -67,7 +68,7 @@
             return Verdict.HOPELESS;
         }
         boolean returns = leftNanos < RETURN_SHARE * route.timeout().toNanos();
-        double goals = urgency == 0 ? URGENT_GOALS : OTHER_GOALS;
+        double goals = route.priority() == 0 ? URGENT_GOALS : OTHER_GOALS;
         double limit = goals * route.goal().toNanos() * (returns ? RETURN_FACTOR : 1);
         return waitNanos <= limit ? Verdict.ADMIT : Verdict.COME_BACK;
     }
--- a/core/src/test/java/org/catkinproxy/serving/AdmissionRuleTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/AdmissionRuleTest.java
@@ -19,29 +19,41 @@
 class AdmissionRuleTest {
     private static final long TIMEOUT = 6 * Samples.SECOND;
     private static final long GOAL = 600 * Samples.MILLI;
-    private static final Route ROUTE =
-            new Route(
-                    "r",
-                    "host",
-                    "/a/",
-                    CallKind.STREAM,
-                    true,
-                    false,
-                    1,
-                    2,
-                    Duration.ofNanos(TIMEOUT),
-                    Duration.ofNanos(GOAL),
-                    Duration.ofMillis(250),
-                    List.of(new WeightedService(Samples.ENGINES, 1)));
+    private static final Route ROUTE = route(1, GOAL);
 
-    private static Verdict decide(int urgency, long wait, long left) {
-        return AdmissionRule.decide(ROUTE, urgency, wait, wait + 100 * Samples.MILLI, left);
+    private static Route route(int priority, long goal) {
+        return new Route(
+                "r",
+                "host",
+                "/a/",
+                CallKind.STREAM,
+                true,
+                false,
+                priority,
+                2,
+                Duration.ofNanos(TIMEOUT),
+                Duration.ofNanos(goal),
+                Duration.ofMillis(250),
+                List.of(new WeightedService(Samples.ENGINES, 1)));
+    }
+
+    private static Verdict decide(int priority, long wait, long left) {
+        Route route = route(priority, GOAL);
+        return AdmissionRule.decide(route, wait, wait + 100 * Samples.MILLI, left);
+    }
+
+    /** Short urgent prompts beside long ones whose goal is twice theirs. */
+    @Property
+    void urgentKindIsNotTurnedAwayBeforeAnother(@ForAll @IntRange(max = 3_000) int waitMillis) {
+        long wait = waitMillis * Samples.MILLI;
+        Verdict urgent = AdmissionRule.decide(route(0, GOAL / 2), wait, wait, TIMEOUT);
+        Verdict other = AdmissionRule.decide(ROUTE, wait, wait, TIMEOUT);
+        assertThat(other.admits() && !urgent.admits()).isFalse();
     }
 
     @Example
     void idleEnginesTakeEverything() {
-        assertThat(AdmissionRule.decide(ROUTE, 9, 0, 5 * Samples.SECOND, 1))
-                .isEqualTo(Verdict.ADMIT);
+        assertThat(AdmissionRule.decide(ROUTE, 0, 5 * Samples.SECOND, 1)).isEqualTo(Verdict.ADMIT);
     }
 
     @Example
@@ -66,7 +78,7 @@
     void lengthAloneTurnsNothingAway(@ForAll @IntRange(max = 2_000) int ownMillis) {
         long wait = 200 * Samples.MILLI;
         long first = wait + ownMillis * Samples.MILLI;
-        assertThat(AdmissionRule.decide(ROUTE, 1, wait, first, TIMEOUT)).isEqualTo(Verdict.ADMIT);
+        assertThat(AdmissionRule.decide(ROUTE, wait, first, TIMEOUT)).isEqualTo(Verdict.ADMIT);
     }
 
     /**
@@ -92,7 +104,7 @@
             if (random.nextInt(1_000) < 13) {
                 long wait = waiting * Samples.MILLI;
                 long first = wait + work * Samples.MILLI;
-                boolean admits = AdmissionRule.decide(ROUTE, 1, wait, first, TIMEOUT).admits();
+                boolean admits = AdmissionRule.decide(ROUTE, wait, first, TIMEOUT).admits();
                 if (!withRule || admits) {
                     queue.addLast(new long[] {now, work});
                     waiting += work;
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -169,11 +169,7 @@
             return AdmissionRule.Verdict.ADMIT;
         }
         return AdmissionRule.decide(
-                route(),
-                mCall.urgency(),
-                choice.waitNanos(),
-                choice.firstTokenNanos(),
-                mDeadline - now);
+                route(), choice.waitNanos(), choice.firstTokenNanos(), mDeadline - now);
     }
 
     private void refuseForLoad(UpstreamChooser.Choice choice, AdmissionRule.Verdict verdict) {
