Refuse as not run only what certainly did not run

Cause, found by reading: when a send that may have run failed, and no other upstream was left to place the request at, the caller got 503, which says that it did not run. The test got 503 before and gets 502. A stream that had begun was refused there too; the encoder then failed and the connection ended, as it should, but by chance: the test of that passed before as well.

--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -152,7 +152,7 @@
         long now = mGateway.now();
         Optional<UpstreamChooser.Choice> choice = choose(now);
         if (choice.isEmpty()) {
-            refuse(ErrorCode.NO_UPSTREAM, "no upstream takes requests");
+            giveUp("no upstream takes requests");
             return;
         }
         AdmissionRule.Verdict verdict = admission(choice.get(), now);
@@ -271,13 +271,20 @@
             mExcluded.add(send.upstream().id());
             mEvents.restart();
             place();
-        } else if (mStreaming) {
-            mFront.abort();
-            finish("broken");
-        } else if (mayWait(failure, now)) {
+        } else if (!mStreaming && mayWait(failure, now)) {
             mExcluded.clear();
             mGateway.loop().schedule(this::placeAfterWait, WAIT_MILLIS, TimeUnit.MILLISECONDS);
-        } else if (failure.isNotRun() && mRuns == 0) {
+        } else {
+            giveUp(reason);
+        }
+    }
+
+    /** Ends without a whole answer; only what certainly did not run is refused as not run. */
+    private void giveUp(String reason) {
+        if (mStreaming) {
+            mFront.abort();
+            finish("broken");
+        } else if (mRuns == 0) {
             refuse(ErrorCode.NO_UPSTREAM, reason);
         } else {
             fail(ErrorCode.UPSTREAM_FAILED, reason);
