--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -56,13 +56,13 @@
     /** Costs that differ by less are taken as equal, so that ties spread. */
     private static final double JITTER = 0.2;
 
-    /** With more peers than this, all that see the same figures would choose the same upstream. */
+    /** With more peers than this, upstreams are sampled: else all would choose the same one. */
     private static final int FEW_PEERS = 10;
 
-    /** Of how many engines a request's are chosen where there are many peers. */
+    /** How many engines are sampled for a prompt. */
     private static final int RANDOM_ENGINES = 4;
 
-    /** Of how many upstreams of a plain service. */
+    /** How many upstreams of a plain service are sampled for a request. */
     private static final int RANDOM_UPSTREAMS = 2;
 
     private final RandomGenerator mRandom;
@@ -193,7 +193,7 @@
         return contenders;
     }
 
-    /** Some of them where there are many peers, else all. */
+    /** Returns some of them, chosen at random, where there are many peers; else all. */
     private <T> List<T> sample(List<T> all, int count) {
         if (mPeers.peers() <= FEW_PEERS || all.size() <= count) {
             return all;
--- a/gateway/src/main/java/org/catkinproxy/gateway/CacheKnowledge.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CacheKnowledge.java
@@ -54,7 +54,7 @@
         private boolean mUntoldFresh;
         private CacheDuty mDuty = CacheDuty.LISTEN;
 
-        /** Counts the times that this instance began to follow, so that an earlier one ends. */
+        /** Counts how often this instance began to follow, so that an earlier follower ends. */
         private int mStarts;
 
         Cache(HostAndPort address, CachedPrompts cached, int followers, BooleanSupplier wanted) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -53,7 +53,7 @@
  * <p>Everything belongs to one event loop and may only be used on it.
  */
 public final class Gateway {
-    /** For each instance, changes of upstreams are put together for so long. */
+    /** Time for which changes of upstreams are put together, for each instance that asks. */
     private static final Duration UPSTREAM_PAUSE = Duration.ofMillis(20);
 
     /** Followers that an engine takes while its service is not configured. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/RolloutNews.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RolloutNews.java
@@ -20,6 +20,7 @@
 
     private static final long RENEWAL_NANOS = 500_000_000L;
 
+    /** As if a holder had been heard of so long ago, at the start. */
     private static final long LONG_AGO_NANOS = 3_600_000_000_000L;
 
     private final Gateway mGateway;
