Bound responses without end, and send nothing once its caller is out of time

Causes and changes: - Bytes after a complete response that are no whole message stayed in the decoder of a kept connection, and the next request met them. Connections now have a decoder that closes at any byte while no request is open, and are not reused if bytes followed a response. - Interim and foreign responses, events without end and many large bodies had no common bound. The lag of the event loop is measured by its periodic task; while it lags, a request starts after the sockets were read once more, and is refused if it can not be sent in time. - Store calls: polls of upstreams accumulate for 50 ms an instance, at most 0.4 of the drain time; the members' table is read after the own row is written and every 20 s; silent members get a heartbeat each second, which also lets two instances find each other again after a cut.

--- a/core/src/main/java/org/catkinproxy/serving/FleetIntervals.java
+++ b/core/src/main/java/org/catkinproxy/serving/FleetIntervals.java
@@ -14,9 +14,14 @@
  */
 public final class FleetIntervals {
     private static final Duration MIN_POLL_TIMEOUT = Duration.ofMillis(2_000);
-    private static final Duration POLL_TIMEOUT_PER_INSTANCE = Duration.ofMillis(300);
+    private static final Duration POLL_TIMEOUT_PER_INSTANCE = Duration.ofMillis(600);
     private static final Duration MAX_POLL_TIMEOUT = Duration.ofSeconds(16);
-    private static final Duration MAX_POLL_DELAY = Duration.ofMillis(1_600);
+    private static final Duration UPSTREAM_POLL_DELAY_PER_INSTANCE = Duration.ofMillis(50);
+
+    /**
+     * Share of the time in which a draining upstream accepts requests that a poll may be delayed.
+     */
+    private static final double MAX_UPSTREAM_POLL_DELAY_SHARE = 0.4;
 
     private static final Duration MIN_HEARTBEAT_INTERVAL = Duration.ofMillis(150);
     private static final Duration HEARTBEAT_INTERVAL_PER_INSTANCE = Duration.ofMillis(15);
@@ -43,13 +48,15 @@
     }
 
     /**
-     * Returns the delay before the next poll after changes, in which further changes accumulate.
+     * Returns the delay before the next poll of the upstreams after changes, in which further
+     * changes accumulate: each change of weights changes all engines one after the other.
      *
-     * @param perInstance the delay for each instance of the fleet
+     * @param drainTime how long a draining upstream accepts requests after its announcement
      */
-    public static Duration pollDelay(Duration perInstance, int instances) {
-        Duration delay = perInstance.multipliedBy(instances);
-        return delay.compareTo(MAX_POLL_DELAY) < 0 ? delay : MAX_POLL_DELAY;
+    public static Duration upstreamPollDelay(int instances, Duration drainTime) {
+        long delay = UPSTREAM_POLL_DELAY_PER_INSTANCE.multipliedBy(instances).toMillis();
+        long maxDelay = (long) (MAX_UPSTREAM_POLL_DELAY_SHARE * drainTime.toMillis());
+        return Duration.ofMillis(Math.min(delay, maxDelay));
     }
 
     /** Returns the interval between two heartbeats of an instance. */
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/serving/LoopDelayEstimator.java
@@ -0,0 +1,61 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Estimates how long received data waits until a busy event loop reads it.
+ *
+ * <p>The load pattern: a process with a small share of a processor has just started, or was paused,
+ * and its loop needs a second or more for one turn. Requests that it reads have then been waiting
+ * since the turn before, and part of their callers' time has passed. The estimate comes from a
+ * periodic task of the loop that runs late. Data arrives at any time of a turn, so on average it
+ * has waited for half of the turn.
+ *
+ * <p>Not thread-safe; all times are in nanoseconds of the owner's monotonic clock.
+ */
+public final class LoopDelayEstimator {
+    /** Lateness of the task up to which the loop counts as idle. */
+    private static final long TOLERANCE_NANOS = 50_000_000L;
+
+    private final long mIntervalNanos;
+    private long mLastTickAt;
+    private long mLastLateGapNanos;
+
+    private LoopDelayEstimator(long intervalNanos, long now) {
+        mIntervalNanos = intervalNanos;
+        mLastTickAt = now;
+    }
+
+    /**
+     * Returns an estimator.
+     *
+     * @param intervalNanos the interval at which {@link #onTick} is called if the loop is idle
+     */
+    public static LoopDelayEstimator of(long intervalNanos, long now) {
+        checkArgument(intervalNanos > 0, "intervalNanos is not positive: %s", intervalNanos);
+        return new LoopDelayEstimator(intervalNanos, now);
+    }
+
+    /** Records a run of the periodic task. */
+    public void onTick(long now) {
+        mLastLateGapNanos = isLate(now) ? now - mLastTickAt : 0;
+        mLastTickAt = now;
+    }
+
+    private boolean isLate(long now) {
+        return now - mLastTickAt > mIntervalNanos + TOLERANCE_NANOS;
+    }
+
+    /**
+     * Returns how long a turn of the loop takes, in ns: the present one if the task is overdue, and
+     * otherwise the last one; 0 if the loop keeps up.
+     */
+    public long turnNanos(long now) {
+        return isLate(now) ? Math.max(now - mLastTickAt, mLastLateGapNanos) : mLastLateGapNanos;
+    }
+
+    /** Returns how long data that is read at {@code now} is expected to have waited, in ns. */
+    public long waitNanos(long now) {
+        return turnNanos(now) / 2;
+    }
+}
--- a/core/src/main/java/org/catkinproxy/serving/RetryPolicy.java
+++ b/core/src/main/java/org/catkinproxy/serving/RetryPolicy.java
@@ -24,7 +24,7 @@
      */
     public static boolean mayResumeFromBackup(Route route, SendFailure failure, long leftNanos) {
         boolean isBroken = failure == SendFailure.BROKEN || failure == SendFailure.SILENT;
-        return isBroken && route.kind() == CallKind.STREAM && leftNanos >= minTimeLeftNanos(route);
+        return isBroken && route.kind() == CallKind.STREAM && hasTimeLeft(route, leftNanos);
     }
 
     /**
@@ -36,7 +36,7 @@
      */
     public static boolean mayRetry(
             Route route, SendFailure failure, int executions, int rejections, long leftNanos) {
-        if (leftNanos < minTimeLeftNanos(route)) {
+        if (!hasTimeLeft(route, leftNanos)) {
             return false;
         }
         if (rejections > MAX_REJECTIONS) {
@@ -48,8 +48,13 @@
         return route.isSafeToRetry() && executions < route.maxAttempts();
     }
 
-    /** A response takes at least a tenth of the latency target, so less time left is not enough. */
-    private static long minTimeLeftNanos(Route route) {
-        return route.latencyTarget().toNanos() / 10;
+    /**
+     * Returns whether a response may still arrive in time: it takes at least a tenth of the latency
+     * target.
+     *
+     * @param leftNanos the time until the caller's deadline, in ns
+     */
+    public static boolean hasTimeLeft(Route route, long leftNanos) {
+        return leftNanos >= route.latencyTarget().toNanos() / 10;
     }
 }
--- a/core/src/main/java/org/catkinproxy/serving/SendFailure.java
+++ b/core/src/main/java/org/catkinproxy/serving/SendFailure.java
@@ -8,6 +8,8 @@
 public enum SendFailure {
     /** No connection was established, and nothing was sent. */
     NOT_CONNECTED(true, false),
+    /** Too little time was left when a connection was available, and nothing was sent. */
+    EXPIRED(true, false),
     /** The upstream reported that it did not execute the request. */
     REJECTED(true, false),
     /** The connection closed or failed before the response was complete. */
--- a/core/src/test/java/org/catkinproxy/serving/FleetIntervalsTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/FleetIntervalsTest.java
@@ -14,7 +14,7 @@
  * number of instances.
  */
 class FleetIntervalsTest {
-    private static final Duration POLL_DELAY_PER_INSTANCE = Duration.ofMillis(20);
+    private static final Duration STRICTEST_DRAIN_TIME = Duration.ofSeconds(2);
 
     /**
      * A draining upstream must get no requests from two seconds after its announcement in the
@@ -23,8 +23,25 @@
     @Property
     void upstreamChangesAreSeenWithinTwoSeconds(
             @ForAll @IntRange(min = 1, max = 2_000) int instances) {
-        assertThat(FleetIntervals.pollDelay(POLL_DELAY_PER_INSTANCE, instances))
-                .isLessThan(Duration.ofSeconds(2));
+        assertThat(FleetIntervals.upstreamPollDelay(instances, STRICTEST_DRAIN_TIME))
+                .isLessThan(Duration.ofSeconds(1));
+    }
+
+    /**
+     * A rollout of weights changes a row about every 100 ms; without accumulation each change would
+     * wake every instance.
+     */
+    @Property
+    void rolloutCausesFewPollsPerInstance(@ForAll @IntRange(min = 20, max = 2_000) int instances) {
+        Duration delay = FleetIntervals.upstreamPollDelay(instances, Duration.ofSeconds(4));
+        assertThat(delay).isAtLeast(Duration.ofSeconds(1));
+    }
+
+    /** Polls of all instances end one after the other, so that one of them soon sees a change. */
+    @Property
+    void somePollOfTheFleetEndsEachSecond(@ForAll @IntRange(min = 3, max = 2_000) int instances) {
+        Duration timeout = FleetIntervals.pollTimeout(instances, new SplittableRandom(instances));
+        assertThat(timeout.dividedBy(instances)).isAtMost(Duration.ofSeconds(1));
     }
 
     @Property
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -100,7 +100,7 @@
         mRequest = request;
         mEventSplitter =
                 new ServerSentEventSplitter(gateway.headerCodec().weightsVersionEventField());
-        mArrivedAt = gateway.now();
+        mArrivedAt = gateway.now() - gateway.loopDelay().waitNanos(gateway.now());
         mDeadline = mArrivedAt + request.timeoutNanos();
         mService = request.service();
         mBudget = gateway.retryBudget(mService);
@@ -136,7 +136,25 @@
         mGateway.addExchange(this);
         mBudget.recordRequest(mArrivedAt);
         armTimer(mDeadline);
-        place();
+        mGateway.runOnceCallersAreHeard(this::placeIfInTime);
+    }
+
+    private void placeIfInTime() {
+        if (mDone) {
+            return;
+        }
+        if (canBeSentInTime()) {
+            place();
+        } else {
+            refuse(ErrorCode.DEADLINE_UNREACHABLE, "the event loop is too far behind");
+        }
+    }
+
+    /** Returns whether enough time is left after another turn of the event loop, to connect. */
+    private boolean canBeSentInTime() {
+        long now = mGateway.now();
+        long leftNanos = mDeadline - now - mGateway.loopDelay().turnNanos(now);
+        return RetryPolicy.hasTimeLeft(route(), leftNanos);
     }
 
     /**
@@ -167,7 +185,7 @@
         long now = mGateway.now();
         Optional<UpstreamChooser.Choice> choice = choose(now);
         if (choice.isEmpty()) {
-            giveUp("no upstream accepts requests");
+            giveUp(ErrorCode.NO_UPSTREAM, "no upstream accepts requests");
             return;
         }
         AdmissionPolicy.Verdict verdict = decideAdmission(choice.get(), now);
@@ -299,21 +317,23 @@
                             this::retryRejected,
                             REJECTED_RETRY_DELAY_MILLIS,
                             TimeUnit.MILLISECONDS);
+        } else if (failure == SendFailure.EXPIRED) {
+            giveUp(ErrorCode.DEADLINE_UNREACHABLE, reason);
         } else {
-            giveUp(reason);
+            giveUp(ErrorCode.NO_UPSTREAM, reason);
         }
     }
 
     /**
      * Ends the request without a complete response. Only a request that certainly did not run is
-     * refused as not run.
+     * refused as not run, with {@code refusalCode}.
      */
-    private void giveUp(String reason) {
+    private void giveUp(ErrorCode refusalCode, String reason) {
         if (mStreaming) {
             mConnection.abort();
             finish("broken");
         } else if (mPossibleRunCount == 0) {
-            refuse(ErrorCode.NO_UPSTREAM, reason);
+            refuse(refusalCode, reason);
         } else {
             fail(ErrorCode.UPSTREAM_FAILED, reason);
         }
@@ -422,6 +442,9 @@
                                 ? WEIGHTS_CHANGE_PAUSE_NANOS
                                 : REJECTION_PAUSE_NANOS);
             }
+            case EXPIRED -> {
+                // The upstream is not the cause.
+            }
             case BROKEN, GARBLED, ERROR_ANSWER -> state.recordResponse(false, now);
             default -> throw new AssertionError(failure);
         }
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -2,10 +2,12 @@
 
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.id.ServiceId;
+import org.catkinproxy.serving.BufferBudget;
 import org.catkinproxy.serving.CallKind;
 import org.catkinproxy.serving.DesiredVersions;
 import org.catkinproxy.serving.EngineLimits;
 import org.catkinproxy.serving.FleetIntervals;
+import org.catkinproxy.serving.LoopDelayEstimator;
 import org.catkinproxy.serving.PeerLoads;
 import org.catkinproxy.serving.Prompt;
 import org.catkinproxy.serving.PromptCacheView;
@@ -44,6 +46,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
@@ -53,12 +56,6 @@
  * <p>Must only be used on its event loop, except for {@link #stop}, which any thread may call.
  */
 public final class Gateway {
-    /**
-     * Delay of the next poll after changes of upstreams, per polling instance, so that one poll
-     * returns several changes.
-     */
-    private static final Duration UPSTREAM_POLL_DELAY = Duration.ofMillis(20);
-
     /** Cache event subscribers assumed per engine while its service is not configured. */
     private static final int DEFAULT_MAX_EVENT_SUBSCRIBERS = 8;
 
@@ -89,6 +86,10 @@
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private final Set<Exchange> mExchanges = new HashSet<>();
     private final Map<PromptStore, PromptStoreView> mPromptStoreViews = new HashMap<>();
+    private final BufferBudget<UpstreamAttempt> mBufferBudget;
+    private final LoopDelayEstimator mLoopDelay =
+            LoopDelayEstimator.of(
+                    TimeUnit.MILLISECONDS.toNanos(SWEEP_INTERVAL_MILLIS), System.nanoTime());
     private Channel mCallerListener;
 
     private Gateway(
@@ -124,6 +125,7 @@
                         settings.leaseTtl(),
                         mRolloutBroadcast);
         mStopSequence = new StopSequence(this, settings.stopGrace());
+        mBufferBudget = BufferBudget.of(settings.maxBufferedResponseBytes());
     }
 
     /** Returns a gateway that has not been started. */
@@ -149,8 +151,8 @@
         logFailure(mPeerMessenger.start(), "peers");
         mInstanceRegistry.start();
         mCacheTracker.start();
-        watch(mRowReader.operatorTable(), mConfigWatcher, Duration.ZERO);
-        watch(mRowReader.upstreamTable(), mUpstreamTracker, UPSTREAM_POLL_DELAY);
+        watch(mRowReader.operatorTable(), mConfigWatcher, () -> Duration.ZERO);
+        watch(mRowReader.upstreamTable(), mUpstreamTracker, this::upstreamPollDelay);
         mLoop.scheduleAtFixedRate(
                 this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         mLog.record(
@@ -162,7 +164,11 @@
         mLog.flush();
     }
 
-    private void watch(String table, TableWatch.Listener listener, Duration pollDelayPerInstance) {
+    private Duration upstreamPollDelay() {
+        return FleetIntervals.upstreamPollDelay(instanceCount(), mSettings.upstreamDrainTime());
+    }
+
+    private void watch(String table, TableWatch.Listener listener, Supplier<Duration> pollDelay) {
         TableWatch.PollPolicy pollPolicy =
                 new TableWatch.PollPolicy() {
                     @Override
@@ -172,7 +178,7 @@
 
                     @Override
                     public Duration pollDelay() {
-                        return FleetIntervals.pollDelay(pollDelayPerInstance, instanceCount());
+                        return pollDelay.get();
                     }
                 };
         mWatches.add(TableWatch.start(mLoop, mStore, table, listener, pollPolicy));
@@ -248,6 +254,8 @@
 
     private void sweep() {
         long now = now();
+        mLoopDelay.onTick(now);
+        joinIfReady();
         List.copyOf(mConnections).forEach(c -> c.closeIfTimedOut(now));
         mConnectionPool.expire();
         mUpstreamTracker.expire();
@@ -316,6 +324,14 @@
         mConnections.remove(connection);
     }
 
+    /**
+     * Records how much of a response an attempt buffers. If all together exceed the limit, the
+     * attempt that buffers most fails.
+     */
+    void recordBufferedBytes(UpstreamAttempt attempt, int bytes) {
+        mBufferBudget.record(attempt, bytes).ifPresent(UpstreamAttempt::onBufferBudgetExceeded);
+    }
+
     void addExchange(Exchange exchange) {
         mExchanges.add(exchange);
     }
@@ -355,11 +371,28 @@
 
     /** Announces this instance to the other instances if it is ready. */
     void joinIfReady() {
-        if (isReady()) {
+        if (isReady() && mLoopDelay.turnNanos(now()) == 0) {
             mInstanceRegistry.join();
         }
     }
 
+    LoopDelayEstimator loopDelay() {
+        return mLoopDelay;
+    }
+
+    /**
+     * Runs a task at once if the event loop keeps up. If not, the task runs after the sockets were
+     * read once more, as callers may have closed connections whose requests were just read.
+     */
+    void runOnceCallersAreHeard(Runnable task) {
+        if (mLoopDelay.turnNanos(now()) == 0) {
+            task.run();
+        } else {
+            // A task that is scheduled by another task runs in the next turn of the loop.
+            mLoop.execute(() -> mLoop.schedule(task, 0, TimeUnit.NANOSECONDS));
+        }
+    }
+
     boolean isStopping() {
         return mStopSequence.hasBegun();
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/GatewaySettings.java
@@ -22,6 +22,7 @@
  * @param metricsAddress the address at which metrics are served
  * @param peerAddress the address for datagrams of the other instances
  * @param cpuShare the process's share of a processor
+ * @param maxBufferedResponseBytes limit for all buffered responses of upstreams together
  * @param retryRatio retries allowed per request of a service
  * @param extraRetriesPerWindow retries that all instances together may make in each window, in
  *     addition to the ratio
@@ -29,6 +30,7 @@
  * @param leaseTtl the time to live of the lease for engine orders
  * @param outdatedWeightsGrace how long an engine may answer with outdated weights after a newer
  *     version was set
+ * @param upstreamDrainTime how long a draining upstream accepts requests after its announcement
  * @param stopGrace the time after which the platform kills a stopping process
  * @param directoryTtl how long callers may cache a directory response
  */
@@ -41,11 +43,13 @@
         InetSocketAddress metricsAddress,
         InetSocketAddress peerAddress,
         double cpuShare,
+        long maxBufferedResponseBytes,
         double retryRatio,
         double extraRetriesPerWindow,
         Duration retryWindow,
         Duration leaseTtl,
         Duration outdatedWeightsGrace,
+        Duration upstreamDrainTime,
         Duration stopGrace,
         Duration directoryTtl) {
     /** Checks that no id and no address is null. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/InstanceRegistry.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/InstanceRegistry.java
@@ -31,16 +31,16 @@
     private static final String TABLE = "members";
 
     /**
-     * Shortest interval between reads of the table. Reads can be rare, since rows only hold
-     * addresses and heartbeats carry the state of an instance.
+     * Interval between reads of the table. Reads can be rare, since an instance reads the table
+     * after it has written its row and then sends heartbeats to all others.
      */
-    private static final long MIN_POLL_MILLIS = 2_000;
+    private static final long POLL_MILLIS = 20_000;
 
-    private static final long POLL_MILLIS_PER_INSTANCE = 200;
-    private static final long MAX_POLL_MILLIS = 16_000;
+    /** Delay before a failed read of the table or a failed write of the row is retried. */
+    private static final long RETRY_MILLIS = 1_000;
 
-    /** Delay before a failed write of the row is retried. */
-    private static final long WRITE_RETRY_MILLIS = 1_000;
+    /** Interval between heartbeats to instances that do not send any. */
+    private static final long PROBE_NANOS = 1_000_000_000L;
 
     /**
      * Time for which a silent instance counts, since it may still use its share of retry budgets.
@@ -61,6 +61,7 @@
     private Set<InstanceId> mReadyPeers = Set.of();
     private List<String> mLoggedAddresses = List.of();
     private boolean mJoined;
+    private long mLastProbeAt = System.nanoTime();
 
     /**
      * Another instance.
@@ -90,7 +91,8 @@
     }
 
     void start() {
-        poll();
+        readTable();
+        scheduleNextRead();
     }
 
     /** Announces that this instance accepts callers; does nothing after the first call. */
@@ -135,6 +137,22 @@
         return mPeerAddresses;
     }
 
+    /**
+     * Returns the addresses of the instances that have been silent for a while, once per probe
+     * interval. Heartbeats to them end the silence of two instances that were cut from each other.
+     */
+    List<InetSocketAddress> silentPeersToProbe() {
+        long now = mGateway.now();
+        if (now - mLastProbeAt < PROBE_NANOS) {
+            return List.of();
+        }
+        mLastProbeAt = now;
+        return mMembers.entrySet().stream()
+                .filter(e -> !mPeerAddresses.containsKey(e.getKey()))
+                .map(e -> e.getValue().peerAddress())
+                .toList();
+    }
+
     /** Returns the other instances that accept callers. */
     Set<InstanceId> readyPeers() {
         return mReadyPeers;
@@ -214,15 +232,25 @@
         }
     }
 
-    private void poll() {
-        mStore.read(TABLE).subscribe(this::applyRows, this::logReadFailure);
-        long interval = POLL_MILLIS_PER_INSTANCE * mMembers.size();
-        interval = Math.min(MAX_POLL_MILLIS, Math.max(MIN_POLL_MILLIS, interval));
-        mGateway.loop().schedule(this::poll, interval, TimeUnit.MILLISECONDS);
+    private void scheduleNextRead() {
+        long millis = (long) (POLL_MILLIS * (0.75 + 0.5 * mGateway.random().nextDouble()));
+        mGateway.loop()
+                .schedule(
+                        () -> {
+                            readTable();
+                            scheduleNextRead();
+                        },
+                        millis,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void readTable() {
+        mStore.read(TABLE).subscribe(this::applyRows, this::retryRead);
     }
 
-    private void logReadFailure(Throwable reason) {
+    private void retryRead(Throwable reason) {
         mGateway.log().record(GatewayEvent.STORE_LOST, "table", TABLE, "reason", reason);
+        mGateway.loop().schedule(this::readTable, RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void applyRows(TableStore.Rows rows) {
@@ -265,13 +293,14 @@
 
     private void writeRow() {
         if (!mGateway.isStopping()) {
-            mStore.write(TABLE, mSelf.value(), encode()).subscribe(v -> {}, this::retryWrite);
+            mStore.write(TABLE, mSelf.value(), encode())
+                    .subscribe(version -> readTable(), this::retryWrite);
         }
     }
 
     private void retryWrite(Throwable reason) {
         logWriteFailure(reason);
-        mGateway.loop().schedule(this::writeRow, WRITE_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        mGateway.loop().schedule(this::writeRow, RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void logWriteFailure(Throwable reason) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
@@ -65,9 +65,12 @@
         mGateway.loop().schedule(this::scheduleHeartbeats, interval, TimeUnit.MILLISECONDS);
     }
 
-    /** Sends the current state of this instance to all peers. */
+    /** Sends the current state of this instance to all peers, and at times to silent ones. */
     void sendHeartbeat() {
-        send(mGateway.instanceRegistry().heartbeat(loadByUpstream(), mGateway.tableVersions()));
+        PeerMessage.Heartbeat heartbeat =
+                mGateway.instanceRegistry().heartbeat(loadByUpstream(), mGateway.tableVersions());
+        send(heartbeat);
+        send(heartbeat, mGateway.instanceRegistry().silentPeersToProbe());
     }
 
     private Map<InstanceId, PeerLoads.Load> loadByUpstream() {
--- a/gateway/src/main/java/org/catkinproxy/gateway/ServerSentEventSplitter.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ServerSentEventSplitter.java
@@ -14,6 +14,9 @@
  * the event loop only.
  */
 final class ServerSentEventSplitter {
+    /** Limit for one event; an event holds the text of a few tokens. */
+    private static final int MAX_EVENT_BYTES = 256 * 1024;
+
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private final byte[] mWeightsVersionField;
@@ -34,25 +37,66 @@
      * Appends a piece of the stream, takes over its ownership and returns the events that are now
      * complete, possibly none.
      *
-     * @throws IllegalArgumentException if the ids of the events do not increase
+     * @throws IllegalArgumentException if the ids of the events do not increase, or an event is too
+     *     large
      */
     ByteBuf split(ByteBuf piece) {
-        ByteBuf buffer =
-                mPartialEvent.isReadable() ? Unpooled.wrappedBuffer(mPartialEvent, piece) : piece;
-        int end = endOfLastEvent(buffer);
+        int scannedBytes = mPartialEvent.readableBytes();
+        ByteBuf buffer = appendToPartialEvent(piece);
+        int end = endOfLastEvent(buffer, Math.max(0, scannedBytes - 1));
         if (end == buffer.readerIndex()) {
-            mPartialEvent = buffer;
+            keepPartialEvent(buffer, piece);
+            checkPartialEvent();
             return Unpooled.EMPTY_BUFFER;
         }
         ByteBuf complete = buffer.readRetainedSlice(end - buffer.readerIndex());
-        mPartialEvent = buffer.isReadable() ? buffer : Unpooled.EMPTY_BUFFER;
-        if (!buffer.isReadable()) {
-            buffer.release();
+        keepPartialEvent(buffer, buffer);
+        try {
+            readIds(complete);
+            checkPartialEvent();
+        } catch (IllegalArgumentException e) {
+            complete.release();
+            throw e;
         }
-        readIds(complete);
         return complete;
     }
 
+    private ByteBuf appendToPartialEvent(ByteBuf piece) {
+        if (!hasPartialEvent()) {
+            return piece;
+        }
+        ByteBuf buffer = mPartialEvent.writeBytes(piece);
+        piece.release();
+        mPartialEvent = Unpooled.EMPTY_BUFFER;
+        return buffer;
+    }
+
+    /**
+     * Keeps the rest of {@code buffer}. It is copied if the buffer is the {@code received} one,
+     * which would keep a larger buffer in memory.
+     */
+    private void keepPartialEvent(ByteBuf buffer, ByteBuf received) {
+        if (buffer != received) {
+            mPartialEvent = buffer;
+            return;
+        }
+        if (buffer.isReadable()) {
+            mPartialEvent = Unpooled.buffer(buffer.readableBytes()).writeBytes(buffer);
+        }
+        buffer.release();
+    }
+
+    private void checkPartialEvent() {
+        if (mPartialEvent.readableBytes() > MAX_EVENT_BYTES) {
+            throw new IllegalArgumentException("event exceeds " + MAX_EVENT_BYTES + " bytes");
+        }
+    }
+
+    /** Returns the size of the incomplete event that is buffered. */
+    int partialEventBytes() {
+        return mPartialEvent.readableBytes();
+    }
+
     /** Returns the id of the last complete event, empty before the first. */
     OptionalLong lastEventId() {
         return mLastEventId == Long.MIN_VALUE
@@ -78,14 +122,19 @@
         mPartialEvent = Unpooled.EMPTY_BUFFER;
     }
 
-    private static int endOfLastEvent(ByteBuf bytes) {
-        int from = bytes.readerIndex();
+    /**
+     * Returns the index after the last complete event, or the reader index if there is none.
+     *
+     * @param skippedBytes the bytes at the beginning that were already found to hold no end
+     */
+    private static int endOfLastEvent(ByteBuf bytes, int skippedBytes) {
+        int from = bytes.readerIndex() + skippedBytes;
         for (int i = bytes.writerIndex() - 1; i > from; i--) {
             if (bytes.getByte(i) == '\n' && bytes.getByte(i - 1) == '\n') {
                 return i + 1;
             }
         }
-        return from;
+        return bytes.readerIndex();
     }
 
     private void readIds(ByteBuf events) {
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StrictResponseDecoder.java
@@ -0,0 +1,58 @@
+package org.catkinproxy.gateway;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Decodes the responses of one upstream connection, which carries one request at a time.
+ *
+ * <p>Bytes that arrive while no request is open belong to no request. They close the connection
+ * before they are decoded, even if they are only the beginning of a message, so that the next
+ * request on the connection cannot receive them. Used by the event loop only.
+ */
+final class StrictResponseDecoder extends HttpResponseDecoder {
+    private static final int MAX_LINE_BYTES = 8 * 1024;
+    private static final int MAX_HEAD_BYTES = 64 * 1024;
+    private static final int MAX_CHUNK_BYTES = 64 * 1024;
+
+    private boolean mRequestOpen;
+    private boolean mHeadRequest;
+
+    StrictResponseDecoder() {
+        super(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
+    }
+
+    /** Starts to accept the response to a request of the given method. */
+    void onRequestSent(HttpMethod method) {
+        mRequestOpen = true;
+        mHeadRequest = method.equals(HttpMethod.HEAD);
+    }
+
+    /**
+     * Stops to accept data after a complete response.
+     *
+     * @return whether further bytes have arrived after the response
+     */
+    boolean onResponseEnd() {
+        mRequestOpen = false;
+        return actualReadableBytes() > 0;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (!mRequestOpen) {
+            ReferenceCountUtil.release(message);
+            context.close();
+            return;
+        }
+        super.channelRead(context, message);
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return mHeadRequest || super.isContentAlwaysEmpty(message);
+    }
+}
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -1,6 +1,7 @@
 package org.catkinproxy.gateway;
 
 import org.catkinproxy.serving.CallKind;
+import org.catkinproxy.serving.RetryPolicy;
 import org.catkinproxy.serving.SendFailure;
 import org.catkinproxy.serving.StallPolicy;
 import org.catkinproxy.serving.Upstream;
@@ -183,6 +184,12 @@
             mGateway.connectionPool().release(connection);
             return;
         }
+        if (!RetryPolicy.hasTimeLeft(mRequest.route(), mDeadline - mGateway.now())) {
+            mGateway.connectionPool().release(connection);
+            mListener.onAttemptFailed(
+                    this, SendFailure.EXPIRED, "too little time left when connected");
+            return;
+        }
         mConnection = connection;
         mSent = true;
         mPlacementRequest.ifPresent(this::recordSentPrompt);
@@ -281,8 +288,8 @@
             content.release();
             return;
         }
-        recordActivity();
         if (mBody != null) {
+            recordActivity();
             appendBody(content);
         } else {
             splitEvents(content);
@@ -293,6 +300,8 @@
         mBody.addComponent(true, content);
         if (mBody.readableBytes() > MAX_BODY_BYTES) {
             mListener.onAttemptFailed(this, SendFailure.GARBLED, "response body is too large");
+        } else {
+            mGateway.recordBufferedBytes(this, mBody.readableBytes());
         }
     }
 
@@ -304,10 +313,20 @@
             mListener.onAttemptFailed(this, SendFailure.GARBLED, e.getMessage());
             return;
         }
-        if (events.isReadable()) {
-            recordFirstOutput();
-            mListener.onEvents(this, events);
+        mGateway.recordBufferedBytes(this, mEventSplitter.partialEventBytes());
+        if (mClosed || !events.isReadable()) {
+            events.release();
+            return;
         }
+        recordActivity();
+        recordFirstOutput();
+        mListener.onEvents(this, events);
+    }
+
+    /** Fails the attempt because all buffered responses together need too much memory. */
+    void onBufferBudgetExceeded() {
+        mListener.onAttemptFailed(
+                this, SendFailure.GARBLED, "buffered responses exceed the memory limit");
     }
 
     /**
@@ -374,6 +393,7 @@
             return;
         }
         mClosed = true;
+        mGateway.recordBufferedBytes(this, 0);
         if (!mPrefillEnded) {
             mPrefillEnded = true;
             upstreamState().recordPrefilled(mChoice.uncachedTokens());
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnection.java
@@ -24,23 +24,34 @@
  * A connection to an upstream, which carries one request at a time.
  *
  * <p>A response that names another request is a late response to an earlier one: it is discarded,
- * and the connection is not reused after that. Data that arrives without an open request closes the
- * connection. Used by the event loop only.
+ * and the connection is not reused after that. What may be discarded before a response is limited.
+ * Data that arrives without an open request closes the connection. Used by the event loop only.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+    /** Limit for the bodies of discarded responses to earlier requests, before a response. */
+    private static final long MAX_DISCARDED_BYTES = 256 * 1024;
+
+    /** Limit for the interim and other discarded responses before a response. */
+    private static final int MAX_DISCARDED_RESPONSES = 16;
+
     private final HeaderCodec mHeaderCodec;
     private final UpstreamConnectionPool mPool;
+    private final StrictResponseDecoder mDecoder;
     private Channel mChannel;
     private ResponseListener mListener;
     private RequestId mRequestId;
     private boolean mInResponse;
     private boolean mDiscarding;
+    private int mDiscardedResponses;
+    private long mDiscardedBytes;
     private boolean mReusable = true;
     private int mKeepAliveSeconds = Integer.MAX_VALUE;
 
-    UpstreamConnection(HeaderCodec headerCodec, UpstreamConnectionPool pool) {
+    UpstreamConnection(
+            HeaderCodec headerCodec, UpstreamConnectionPool pool, StrictResponseDecoder decoder) {
         mHeaderCodec = headerCodec;
         mPool = pool;
+        mDecoder = decoder;
     }
 
     @Override
@@ -71,6 +82,9 @@
         mListener = listener;
         mRequestId = id;
         mInResponse = false;
+        mDiscardedResponses = 0;
+        mDiscardedBytes = 0;
+        mDecoder.onRequestSent(method);
         if (body.isReadable() || method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
@@ -128,6 +142,8 @@
             mReusable = false;
         }
         if (mDiscarding) {
+            mDiscardedResponses++;
+            checkDiscarded();
             return;
         }
         mInResponse = true;
@@ -140,6 +156,8 @@
         boolean last = content instanceof LastHttpContent;
         if (mDiscarding) {
             mDiscarding = !last;
+            mDiscardedBytes += content.content().readableBytes();
+            checkDiscarded();
             return;
         }
         if (!mInResponse) {
@@ -153,10 +171,19 @@
         }
     }
 
+    private void checkDiscarded() {
+        if (mDiscardedResponses > MAX_DISCARDED_RESPONSES
+                || mDiscardedBytes > MAX_DISCARDED_BYTES) {
+            fail(SendFailure.GARBLED, "too many responses that do not belong to the request");
+        }
+    }
+
     private void end() {
         ResponseListener listener = mListener;
         mListener = null;
         mInResponse = false;
+        mReusable &= !mDecoder.onResponseEnd();
+        setAutoRead(true);
         mPool.release(this);
         listener.onEnd();
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnectionPool.java
@@ -9,7 +9,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -23,9 +23,6 @@
  */
 final class UpstreamConnectionPool {
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
-    private static final int MAX_HEAD_BYTES = 64 * 1024;
-    private static final int MAX_LINE_BYTES = 8 * 1024;
-    private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
     /** Time by which an idle connection expires before the upstream closes it. */
     private static final long IDLE_MARGIN_NANOS = 700_000_000L;
@@ -71,14 +68,15 @@
     }
 
     private void connect(Upstream upstream, String address, AcquireListener listener) {
-        UpstreamConnection connection = new UpstreamConnection(mHeaderCodec, this);
+        StrictResponseDecoder decoder = new StrictResponseDecoder();
+        UpstreamConnection connection = new UpstreamConnection(mHeaderCodec, this, decoder);
         mAddresses.put(connection, address);
         new Bootstrap()
                 .group(mLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(new Initializer(connection))
+                .handler(new Initializer(decoder, connection))
                 .connect(upstream.host(), upstream.port())
                 .addListener((ChannelFuture f) -> onConnected(f, connection, listener));
     }
@@ -145,16 +143,19 @@
     }
 
     private static final class Initializer extends ChannelInitializer<Channel> {
+        private final StrictResponseDecoder mDecoder;
         private final UpstreamConnection mConnection;
 
-        Initializer(UpstreamConnection connection) {
+        Initializer(StrictResponseDecoder decoder, UpstreamConnection connection) {
+            mDecoder = decoder;
             mConnection = connection;
         }
 
         @Override
         protected void initChannel(Channel channel) {
             channel.pipeline()
-                    .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(mDecoder)
+                    .addLast(new HttpRequestEncoder())
                     .addLast(mConnection);
         }
     }
