Start requests at the pace of the event loop; place long outputs on fast engines

StartQueue starts requests for 20 ms a turn, so that the sockets are read in between.

Engines' time for an output token is measured, told to peers with the loads, and counts in the placement.

Also: a periodic task, a table's listener or a start that throws no longer ends its repetition.

--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -62,6 +62,12 @@
     /** An error rate of 1 multiplies the cost by one plus this weight. */
     private static final double ERROR_RATE_WEIGHT = 6;
 
+    /** Weight of the time to generate the output, beside that to the first token. */
+    private static final double GENERATION_WEIGHT = 0.03;
+
+    /** Share of the time until the deadline that a generation may be expected to take. */
+    private static final double USABLE_TIME_SHARE = 0.8;
+
     /** Maximum random increase of a cost, as a share of the cost, which spreads near ties. */
     private static final double MAX_JITTER = 0.2;
 
@@ -125,13 +131,15 @@
      * @param fetchNanosPerToken the time to copy the KV cache of one token between engines, in ns
      * @param promptStore the store from which and to which the prompt may be copied, empty if there
      *     is none
+     * @param deadline when the whole response has to be complete, in ns of the monotonic clock
      */
     public record PlacementRequest(
             Prompt prompt,
             String cacheScope,
             DesiredVersions versions,
             double fetchNanosPerToken,
-            Optional<PromptStoreView> promptStore) {
+            Optional<PromptStoreView> promptStore,
+            long deadline) {
         /** Returns the newest desired version of the weights for the prompt's model, or 0. */
         public int newestVersion() {
             return versions.newest(prompt.model());
@@ -197,11 +205,13 @@
             long now) {
         List<Candidate> candidates = candidates(eligible(states, excluded, now), request, now);
         Candidate rendezvousEngine = rendezvousEngine(candidates, request.prompt());
+        double usualNanosPerOutputToken = usualNanosPerOutputToken(candidates);
         Choice best = null;
         double lowestCost = Double.MAX_VALUE;
         for (Candidate candidate : sampledCandidates(candidates, rendezvousEngine)) {
             Choice choice = evaluate(candidate, candidates, request, now);
             double cost = cost(choice, candidate, request, now);
+            cost += generationCost(choice, usualNanosPerOutputToken, request, now);
             if (candidate == rendezvousEngine) {
                 cost -=
                         RENDEZVOUS_CREDIT_SHARE
@@ -344,6 +354,39 @@
                         : 0);
     }
 
+    /**
+     * Returns the cost of the time in which the output is generated. Engines of one service differ
+     * in speed, and a long output at a slow or busy engine is not complete before the deadline
+     * although its first token arrives soon.
+     */
+    private double generationCost(
+            Choice choice, double usualNanosPerOutputToken, PlacementRequest request, long now) {
+        double known = nanosPerOutputToken(choice.target());
+        double nanosPerToken = known > 0 ? known : usualNanosPerOutputToken;
+        double generationNanos = request.prompt().maxOutputTokens() * nanosPerToken;
+        double spareNanos =
+                USABLE_TIME_SHARE * (request.deadline() - now)
+                        - choice.firstTokenNanos()
+                        - generationNanos;
+        return GENERATION_WEIGHT * generationNanos + Math.max(0, -spareNanos);
+    }
+
+    /** Returns the mean of the candidates' times for an output token that are known, or 0. */
+    private double usualNanosPerOutputToken(List<Candidate> candidates) {
+        return candidates.stream()
+                .mapToDouble(c -> nanosPerOutputToken(c.mState))
+                .filter(nanos -> nanos > 0)
+                .average()
+                .orElse(0);
+    }
+
+    /** Returns the time for an output token that was seen by this instance and its peers, or 0. */
+    private double nanosPerOutputToken(UpstreamState state) {
+        double own = state.nanosPerOutputToken();
+        double ofPeers = mPeerLoads.total(state.upstream().id()).nanosPerOutputToken();
+        return own > 0 && ofPeers > 0 ? (own + ofPeers) / 2 : Math.max(own, ofPeers);
+    }
+
     /** An address from which a prompt can be copied, and how many leading tokens it has there. */
     private record FetchSource(HostAndPort address, long tokens) {}
 
--- a/core/src/main/java/org/catkinproxy/serving/UpstreamState.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamState.java
@@ -26,6 +26,7 @@
     private int mInFlight;
     private long mPendingTokens;
     private double mRelativeLatency = 1;
+    private double mNanosPerOutputToken;
     private double mErrorRate;
     private long mErrorRateUpdatedAt;
     private long mSuspectUntil;
@@ -115,6 +116,32 @@
         mRelativeLatency += SMOOTHING_FACTOR * (bounded - mRelativeLatency);
     }
 
+    /**
+     * Records how long a stream took from its first event to its last one.
+     *
+     * @param isComplete whether the stream was complete; another one only shows that the upstream
+     *     is no faster
+     */
+    public void recordGeneration(long nanos, int maxOutputTokens, boolean isComplete) {
+        if (maxOutputTokens <= 0) {
+            return;
+        }
+        double sample = (double) nanos / maxOutputTokens;
+        if (mNanosPerOutputToken == 0) {
+            mNanosPerOutputToken = isComplete ? sample : 0;
+        } else if (isComplete || sample > mNanosPerOutputToken) {
+            mNanosPerOutputToken += SMOOTHING_FACTOR * (sample - mNanosPerOutputToken);
+        }
+    }
+
+    /**
+     * Returns the smoothed time that the upstream takes for each token that a request may generate,
+     * in ns, or 0 before the first stream.
+     */
+    public double nanosPerOutputToken() {
+        return mNanosPerOutputToken;
+    }
+
     /**
      * Records the outcome of a response. Any response shows that the upstream is reachable.
      *
--- a/core/src/test/java/org/catkinproxy/serving/UpstreamChooserTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/UpstreamChooserTest.java
@@ -19,6 +19,7 @@
 /** Tests the choice of upstreams and engines under typical load patterns. */
 class UpstreamChooserTest {
     private static final double FETCH_NANOS = 7_000;
+    private static final long DEADLINE = 15 * Samples.NANOS_PER_SECOND;
 
     private final PeerLoads mPeerLoads = PeerLoads.create();
     private final UpstreamChooser mChooser =
@@ -29,7 +30,7 @@
 
     private UpstreamChooser.PlacementRequest placement(Prompt prompt) {
         return new UpstreamChooser.PlacementRequest(
-                prompt, "*", mVersions, FETCH_NANOS, mPromptStore);
+                prompt, "*", mVersions, FETCH_NANOS, mPromptStore, DEADLINE);
     }
 
     private static List<UpstreamState> engines(int count) {
@@ -86,6 +87,60 @@
                 .isNotEqualTo(busy);
     }
 
+    /**
+     * Replays a scale day on which a third of the engines generate three times as slowly as the
+     * others: long outputs there were cut at their callers' deadlines.
+     */
+    @Example
+    void longOutputsGoToEnginesThatCompleteThemInTime() {
+        List<UpstreamState> states = engines(6);
+        for (int i = 0; i < states.size(); i++) {
+            long nanosPerToken = (i < 2 ? 18 : 6) * Samples.NANOS_PER_MILLI;
+            states.get(i).recordGeneration(1_000 * nanosPerToken, 1_000, true);
+        }
+        int cut = 0;
+        for (int i = 0; i < 60; i++) {
+            Prompt prompt = new Prompt(Samples.MODEL, 800, 1_000, List.of());
+            UpstreamState target = choose(states, prompt).orElseThrow().target();
+            target.recordSent(800);
+            if (1_000 * target.nanosPerOutputToken() > DEADLINE) {
+                cut++;
+            }
+        }
+        assertThat(cut).isEqualTo(0);
+    }
+
+    /** Short outputs still use slow engines once the fast ones have a queue. */
+    @Example
+    void slowEnginesAreUsedForShortOutputsUnderLoad() {
+        List<UpstreamState> states = engines(2);
+        states.get(0).recordGeneration(180 * Samples.NANOS_PER_MILLI, 10, true);
+        states.get(1).recordGeneration(60 * Samples.NANOS_PER_MILLI, 10, true);
+        states.get(1).recordSent(9_000);
+
+        Prompt prompt = new Prompt(Samples.MODEL, 800, 10, List.of());
+        assertThat(choose(states, prompt).orElseThrow().target()).isSameInstanceAs(states.get(0));
+    }
+
+    /** In a large fleet, only peers have seen the streams of most engines. */
+    @Example
+    void speedSeenByPeersCounts() {
+        List<UpstreamState> states = engines(2);
+        InstanceId slow = states.get(0).upstream().id();
+        PeerLoads.Load load = new PeerLoads.Load(1, 0);
+        mPeerLoads.update(
+                InstanceId.of("peer"),
+                Map.of(
+                        slow,
+                        load.withNanosPerOutputToken(30 * Samples.NANOS_PER_MILLI),
+                        states.get(1).upstream().id(),
+                        load.withNanosPerOutputToken(6 * Samples.NANOS_PER_MILLI)),
+                0);
+
+        Prompt prompt = new Prompt(Samples.MODEL, 800, 1_000, List.of());
+        assertThat(choose(states, prompt).orElseThrow().target()).isSameInstanceAs(states.get(1));
+    }
+
     /** Sixty instances that see the same stale loads must not all choose the least busy engine. */
     @Example
     void manyInstancesDoNotHerdOnTheLeastBusyEngine() {
--- a/gateway/src/main/java/org/catkinproxy/gateway/CacheTracker.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CacheTracker.java
@@ -152,7 +152,7 @@
     void start() {
         mGateway.loop()
                 .scheduleAtFixedRate(
-                        this::relayNextGroup,
+                        GuardedTask.of(mGateway.log(), "cache relay", this::relayNextGroup),
                         RELAY_GROUP_INTERVAL_MILLIS,
                         RELAY_GROUP_INTERVAL_MILLIS,
                         TimeUnit.MILLISECONDS);
@@ -160,9 +160,9 @@
     }
 
     private void flush() {
-        mCaches.values().forEach(TrackedCache::flush);
         long interval = FleetIntervals.cacheUpdateInterval(mGateway.instanceCount()).toMillis();
         mGateway.loop().schedule(this::flush, interval, TimeUnit.MILLISECONDS);
+        mCaches.values().forEach(TrackedCache::flush);
     }
 
     /**
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -128,7 +128,8 @@
                 mRequest.cacheScope(),
                 mGateway.desiredVersions(),
                 fetchNanosPerToken,
-                mGateway.promptStoreView(prompt));
+                mGateway.promptStoreView(prompt),
+                mDeadline);
     }
 
     /** Starts the first attempt. */
@@ -136,7 +137,7 @@
         mGateway.addExchange(this);
         mBudget.recordRequest(mArrivedAt);
         armTimer(mDeadline);
-        mGateway.runOnceCallersAreHeard(this::placeIfInTime);
+        mGateway.startQueue().start(this::placeIfInTime);
     }
 
     private void placeIfInTime() {
@@ -629,6 +630,7 @@
             return;
         }
         attempt.upstreamState().recordResponse(true, mGateway.now());
+        attempt.recordGeneration(true);
         mConnection.endStream();
         finish("answered");
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -90,6 +90,7 @@
     private final LoopDelayEstimator mLoopDelay =
             LoopDelayEstimator.of(
                     TimeUnit.MILLISECONDS.toNanos(SWEEP_INTERVAL_MILLIS), System.nanoTime());
+    private final StartQueue mStartQueue;
     private Channel mCallerListener;
 
     private Gateway(
@@ -125,6 +126,7 @@
                         settings.leaseTtl(),
                         mRolloutBroadcast);
         mStopSequence = new StopSequence(this, settings.stopGrace());
+        mStartQueue = new StartQueue(loop, mLoopDelay);
         mBufferBudget = BufferBudget.of(settings.maxBufferedResponseBytes());
     }
 
@@ -154,7 +156,10 @@
         watch(mRowReader.operatorTable(), mConfigWatcher, () -> Duration.ZERO);
         watch(mRowReader.upstreamTable(), mUpstreamTracker, this::upstreamPollDelay);
         mLoop.scheduleAtFixedRate(
-                this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                GuardedTask.of(mLog, "sweep", this::sweep),
+                SWEEP_INTERVAL_MILLIS,
+                SWEEP_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
         mLog.record(
                 GatewayEvent.STARTED,
                 "front",
@@ -380,17 +385,8 @@
         return mLoopDelay;
     }
 
-    /**
-     * Runs a task at once if the event loop keeps up. If not, the task runs after the sockets were
-     * read once more, as callers may have closed connections whose requests were just read.
-     */
-    void runOnceCallersAreHeard(Runnable task) {
-        if (mLoopDelay.turnNanos(now()) == 0) {
-            task.run();
-        } else {
-            // A task that is scheduled by another task runs in the next turn of the loop.
-            mLoop.execute(() -> mLoop.schedule(task, 0, TimeUnit.NANOSECONDS));
-        }
+    StartQueue startQueue() {
+        return mStartQueue;
     }
 
     boolean isStopping() {
--- a/gateway/src/main/java/org/catkinproxy/gateway/InstanceRegistry.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/InstanceRegistry.java
@@ -237,8 +237,8 @@
         mGateway.loop()
                 .schedule(
                         () -> {
-                            readTable();
                             scheduleNextRead();
+                            readTable();
                         },
                         millis,
                         TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessageCodec.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessageCodec.java
@@ -27,7 +27,7 @@
  * and so safe for use by any thread.
  */
 final class PeerMessageCodec {
-    private static final byte FORMAT_VERSION = 1;
+    private static final byte FORMAT_VERSION = 2;
     private static final byte HEARTBEAT = 1;
     private static final byte CACHE_UPDATE = 2;
     private static final byte ROLLOUT_UPDATE = 3;
@@ -90,6 +90,7 @@
     private static void writeLoad(TProtocol out, PeerLoads.Load load) throws TException {
         out.writeI32(load.requests());
         out.writeI64(load.pendingTokens());
+        out.writeI64(load.generationMicros());
     }
 
     private static void writeCacheUpdate(TProtocol out, PeerMessage.CacheUpdate update)
@@ -179,7 +180,7 @@
     }
 
     private static PeerLoads.Load readLoad(TProtocol in) throws TException {
-        return new PeerLoads.Load(in.readI32(), in.readI64());
+        return new PeerLoads.Load(in.readI32(), in.readI64(), in.readI64());
     }
 
     private static RolloutState readRollout(TProtocol in) throws TException {
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
@@ -60,9 +60,9 @@
     }
 
     private void scheduleHeartbeats() {
-        sendHeartbeat();
         long interval = FleetIntervals.heartbeatInterval(mGateway.instanceCount()).toMillis();
         mGateway.loop().schedule(this::scheduleHeartbeats, interval, TimeUnit.MILLISECONDS);
+        sendHeartbeat();
     }
 
     /** Sends the current state of this instance to all peers, and at times to silent ones. */
@@ -79,7 +79,8 @@
             if (state.inFlight() > 0 && loadByUpstream.size() < MAX_UPSTREAMS_PER_HEARTBEAT) {
                 loadByUpstream.put(
                         state.upstream().id(),
-                        new PeerLoads.Load(state.inFlight(), state.pendingTokens()));
+                        new PeerLoads.Load(state.inFlight(), state.pendingTokens())
+                                .withNanosPerOutputToken(state.nanosPerOutputToken()));
             }
         }
         return loadByUpstream;
--- a/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
@@ -2,6 +2,8 @@
 
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.error.ErrorCode;
+import org.catkinproxy.error.Outcome;
+import org.catkinproxy.error.Step;
 
 import io.netty.channel.EventLoop;
 import io.reactivex.rxjava3.disposables.Disposable;
@@ -146,19 +148,45 @@
 
     private void onTable(TableStore.Rows rows) {
         mListener.onConnected();
-        mListener.onTable(rows.rows());
+        try {
+            mListener.onTable(rows.rows());
+        } catch (RuntimeException e) {
+            readAgain(e);
+            return;
+        }
         advance(rows);
         mLoop.execute(this::poll);
     }
 
+    /** Reads all rows again after a delay, because the listener failed to handle some. */
+    private void readAgain(RuntimeException failure) {
+        mListener.onDisconnected(
+                CatkinException.of(
+                        ErrorCode.INTERNAL,
+                        Step.STORE,
+                        mTable,
+                        Outcome.NOT_RUN,
+                        "rows cannot be handled: " + failure,
+                        failure));
+        mVersion = -1;
+        mLoop.schedule(this::poll, mBackoffMillis, TimeUnit.MILLISECONDS);
+        mBackoffMillis = Math.min(2 * mBackoffMillis, MAX_BACKOFF_MILLIS);
+    }
+
     private void onChanges(TableStore.Rows rows) {
         mListener.onConnected();
-        advance(rows);
         if (rows.rows().isEmpty()) {
+            advance(rows);
             mLoop.execute(this::poll);
             return;
         }
-        mListener.onChanges(rows.rows());
+        try {
+            mListener.onChanges(rows.rows());
+        } catch (RuntimeException e) {
+            readAgain(e);
+            return;
+        }
+        advance(rows);
         long delay = mPollPolicy.pollDelay().toMillis();
         mLoop.schedule(this::poll, delay, TimeUnit.MILLISECONDS);
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -82,6 +82,11 @@
     private UpstreamConnection mConnection;
     private boolean mSent;
     private boolean mPrefillEnded;
+
+    /** When the first output arrived, 0 before that. */
+    private long mFirstOutputAt;
+
+    private boolean mGenerationRecorded;
     private boolean mClosed;
     private HttpResponse mResponse;
     private ResponseHead mResponseHead;
@@ -337,6 +342,7 @@
             return;
         }
         mPrefillEnded = true;
+        mFirstOutputAt = mGateway.now();
         upstreamState().recordPrefilled(mChoice.uncachedTokens());
         double expected =
                 mPlacementRequest.isPresent()
@@ -347,6 +353,21 @@
         }
     }
 
+    /** Records the speed of a new stream, once, as far as the stream has come. */
+    void recordGeneration(boolean isComplete) {
+        if (mFirstOutputAt != 0
+                && !mGenerationRecorded
+                && mPlacementRequest.isPresent()
+                && mResumePoint.lastEventId().isEmpty()) {
+            mGenerationRecorded = true;
+            upstreamState()
+                    .recordGeneration(
+                            mGateway.now() - mFirstOutputAt,
+                            mPlacementRequest.get().prompt().maxOutputTokens(),
+                            isComplete);
+        }
+    }
+
     @Override
     public void onEnd() {
         if (mClosed) {
@@ -392,6 +413,7 @@
         if (mClosed) {
             return;
         }
+        recordGeneration(false);
         mClosed = true;
         mGateway.recordBufferedBytes(this, 0);
         if (!mPrefillEnded) {
--- a/gateway/src/test/java/org/catkinproxy/gateway/TableWatchTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/TableWatchTest.java
@@ -99,6 +99,19 @@
         assertThat(mStore.openCalls()).containsExactly("changes after 6 wait 16");
     }
 
+    /** One row that a listener cannot handle must not end the watch of the whole table. */
+    @Example
+    void tableIsReadAgainAfterTheListenerFailed() {
+        mListener.mFailsOnce = true;
+        mStore.succeed(rows(6, row("b", 6)));
+        assertThat(mListener.mDisconnectCount).isEqualTo(1);
+
+        advance(150);
+        assertThat(mStore.openCalls()).containsExactly("read");
+        mStore.succeed(rows(6, row("a", 3), row("b", 6)));
+        assertThat(mListener.mKeys).containsAtLeast("a", "b");
+    }
+
     private void advance(long millis) {
         mChannel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
         mChannel.runScheduledPendingTasks();
@@ -109,8 +122,8 @@
         return new TableRow(key, version, Optional.of(key.getBytes(StandardCharsets.UTF_8)));
     }
 
-    private static TableStore.Rows rows(long version, TableRow row) {
-        return new TableStore.Rows(List.of(row), version);
+    private static TableStore.Rows rows(long version, TableRow... rows) {
+        return new TableStore.Rows(List.of(rows), version);
     }
 
     private static final class FixedPollPolicy implements TableWatch.PollPolicy {
@@ -194,6 +207,7 @@
     private static final class RecordingListener implements TableWatch.Listener {
         private final List<String> mKeys = new ArrayList<>();
         private int mDisconnectCount;
+        private boolean mFailsOnce;
 
         @Override
         public void onTable(List<TableRow> rows) {
@@ -202,6 +216,10 @@
 
         @Override
         public void onChanges(List<TableRow> rows) {
+            if (mFailsOnce) {
+                mFailsOnce = false;
+                throw new IllegalStateException("row cannot be handled");
+            }
             rows.forEach(r -> mKeys.add(r.key()));
         }
 
