--- a/core/src/main/java/org/catkinproxy/serving/FleetIntervals.java
+++ b/core/src/main/java/org/catkinproxy/serving/FleetIntervals.java
@@ -16,7 +16,7 @@
     private static final Duration MIN_POLL_TIMEOUT = Duration.ofMillis(2_000);
     private static final Duration POLL_TIMEOUT_PER_INSTANCE = Duration.ofMillis(600);
     private static final Duration MAX_POLL_TIMEOUT = Duration.ofSeconds(16);
-    private static final Duration UPSTREAM_POLL_DELAY_PER_INSTANCE = Duration.ofMillis(50);
+    private static final Duration UPSTREAM_POLL_DELAY_PER_INSTANCE = Duration.ofMillis(100);
 
     /**
      * Share of the time in which a draining upstream accepts requests that a poll may be delayed.
