--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -645,11 +645,11 @@
         if (head.notRun() || head.misdirected()) {
             onAttemptFailed(
                     attempt, SendFailure.REJECTED, "upstream responded with status " + status);
-        } else if (head.contentEncoded() || (isSuccess(status) && !head.signed())) {
+        } else if (head.contentEncoded() || (isSuccess(status) && !head.isIdentified())) {
             onAttemptFailed(
                     attempt,
                     SendFailure.GARBLED,
-                    "response has a content encoding or lacks the signature");
+                    "response has a content encoding or lacks the signature or request id");
         } else if (isServerError(status) && tryChargeRetryElsewhere()) {
             onAttemptFailed(
                     attempt, SendFailure.ERROR_ANSWER, "upstream responded with status " + status);
--- a/gateway/src/main/java/org/catkinproxy/gateway/ResponseHead.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ResponseHead.java
@@ -30,4 +30,12 @@
         boolean contentEncoded,
         OptionalInt weightsVersion,
         OptionalInt keepAliveSeconds,
-        boolean closesConnection) {}
+        boolean closesConnection) {
+    /**
+     * Returns whether the response states its request and is signed. Without a request id, a
+     * success may be a late copy of the response to an earlier request on the connection.
+     */
+    boolean isIdentified() {
+        return signed && requestId.isPresent();
+    }
+}
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -264,11 +264,11 @@
         head.weightsVersion().ifPresent(this::recordWeightsVersion);
         if (!isEventStream()) {
             mBody = Unpooled.compositeBuffer();
-        } else if (!head.signed() || head.contentEncoded()) {
+        } else if (!head.isIdentified() || head.contentEncoded()) {
             mListener.onAttemptFailed(
                     this,
                     SendFailure.GARBLED,
-                    "event stream has a content encoding or lacks the signature");
+                    "event stream has a content encoding or lacks the signature or request id");
         }
     }
 
