--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -1,10 +1,7 @@
 package org.catkinproxy.gateway;
 
-import com.google.common.net.HostAndPort;
-
 import org.catkinproxy.error.ErrorCode;
 import org.catkinproxy.id.InstanceId;
-import org.catkinproxy.id.RequestId;
 import org.catkinproxy.id.ServiceId;
 import org.catkinproxy.serving.AdmissionPolicy;
 import org.catkinproxy.serving.CallKind;
@@ -64,6 +61,7 @@
     private final Gateway mGateway;
     private final CallerConnection mConnection;
     private final AdmittedRequest mRequest;
+    private final RequestLog mLog;
     private final long mArrivedAt;
     private final long mDeadline;
     private final ServiceId mService;
@@ -98,6 +96,7 @@
         mGateway = gateway;
         mConnection = connection;
         mRequest = request;
+        mLog = new RequestLog(gateway, request);
         mEventSplitter =
                 new ServerSentEventSplitter(gateway.headerCodec().weightsVersionEventField());
         mArrivedAt = gateway.now() - gateway.loopDelay().waitNanos(gateway.now());
@@ -116,10 +115,6 @@
         return mRequest.route();
     }
 
-    private RequestId id() {
-        return mRequest.head().id();
-    }
-
     private UpstreamChooser.PlacementRequest placementRequest(Prompt prompt) {
         double fetchNanosPerToken =
                 mGateway.engineLimits(mService).map(EngineLimits::fetchNanosPerToken).orElse(0.0);
@@ -167,7 +162,7 @@
             return;
         }
         mCallerGone = true;
-        mGateway.log().record(GatewayEvent.CALLER_GONE, "request", id(), "sends", mAttemptCount);
+        mLog.callerGone(mAttemptCount);
         boolean runsOn =
                 mAttempt != null && mAttempt.isSent() && !route().kind().isCancelledOnDisconnect();
         if (!runsOn) {
@@ -228,27 +223,7 @@
             lastEventId = mResumesFromBackup ? OptionalLong.of(0) : mRequest.head().lastEventId();
         }
         mAttemptCount++;
-        mGateway.log()
-                .record(
-                        GatewayEvent.REQUEST_PLACED,
-                        "request",
-                        id(),
-                        "route",
-                        route().name(),
-                        "upstream",
-                        choice.target().upstream().id(),
-                        "uncached",
-                        choice.uncachedTokens(),
-                        "source",
-                        choice.fetchFrom().map(HostAndPort::toString).orElse("none"),
-                        "expected_ms",
-                        (long) (choice.firstTokenNanos() / NANOS_PER_MILLI),
-                        "in_flight",
-                        choice.target().inFlight(),
-                        "peer_requests",
-                        mGateway.peerLoads().total(choice.target().upstream().id()).requests(),
-                        "config",
-                        mGateway.configVersion());
+        mLog.placed(choice);
         mAttempt =
                 new UpstreamAttempt(
                         mGateway,
@@ -276,19 +251,7 @@
         attempt.close();
         mAttempt = null;
         recordFailure(attempt, failure, now);
-        mGateway.log()
-                .record(
-                        GatewayEvent.REQUEST_SEND_FAILED,
-                        "request",
-                        id(),
-                        "upstream",
-                        attempt.upstream().id(),
-                        "failure",
-                        failure,
-                        "reason",
-                        reason,
-                        "after_ms",
-                        millisSince(attempt.startedAt(), now));
+        mLog.sendFailed(attempt, failure, reason, now);
         if (mCallerGone) {
             finish("caller_gone");
             return;
@@ -297,15 +260,8 @@
         if (backup.isPresent()) {
             mResumesFromBackup = true;
             mEventSplitter.discardPartialEvent();
-            mGateway.log()
-                    .record(
-                            GatewayEvent.REQUEST_RESUMED,
-                            "request",
-                            id(),
-                            "upstream",
-                            backup.get().target().upstream().id(),
-                            "after_event",
-                            mEventSplitter.lastEventId().orElse(0));
+            mLog.resumed(
+                    backup.get().target().upstream().id(), mEventSplitter.lastEventId().orElse(0));
             startAttempt(backup.get());
         } else if (mayRetry(failure, now)) {
             mExcluded.add(attempt.upstream().id());
@@ -427,13 +383,7 @@
             case NOT_CONNECTED, SILENT -> {
                 state.markUnreachable(now);
                 mGateway.connectionPool().closeIdle(state.upstream());
-                mGateway.log()
-                        .record(
-                                GatewayEvent.UPSTREAM_SUSPECT,
-                                "upstream",
-                                state.upstream().id(),
-                                "failure",
-                                failure);
+                mLog.upstreamSuspect(state.upstream().id(), failure);
             }
             case REJECTED -> {
                 mRejectionCount++;
@@ -540,23 +490,7 @@
 
     private void refuse(ErrorCode code, String reason, long retryAfterMillis) {
         long leftMillis = (mDeadline - mGateway.now()) / NANOS_PER_MILLI;
-        mGateway.log()
-                .record(
-                        GatewayEvent.REQUEST_REFUSED,
-                        "request",
-                        id(),
-                        "code",
-                        code.wireName(),
-                        "reason",
-                        reason,
-                        "sends",
-                        mAttemptCount,
-                        "left_ms",
-                        leftMillis,
-                        "come_back_ms",
-                        retryAfterMillis,
-                        "config",
-                        mGateway.configVersion());
+        mLog.refused(code.wireName(), reason, mAttemptCount, leftMillis, retryAfterMillis);
         mConnection.sendError(code, retryAfterMillis);
         finish("refused");
     }
@@ -580,28 +514,11 @@
         mRequest.body().release();
         long now = mGateway.now();
         mGateway.metrics().recordRequest(route().kind(), outcome, now - mArrivedAt);
-        mGateway.log()
-                .record(
-                        GatewayEvent.REQUEST_ENDED,
-                        "request",
-                        id(),
-                        "route",
-                        route().name(),
-                        "outcome",
-                        outcome,
-                        "sends",
-                        mAttemptCount,
-                        "first_ms",
-                        mFirstEventAt == 0 ? -1 : millisSince(mArrivedAt, mFirstEventAt),
-                        "took_ms",
-                        millisSince(mArrivedAt, now));
+        long firstEventNanos = mFirstEventAt == 0 ? -1 : mFirstEventAt - mArrivedAt;
+        mLog.ended(outcome, mAttemptCount, firstEventNanos, now - mArrivedAt);
         mGateway.removeExchange(this);
     }
 
-    private static long millisSince(long start, long now) {
-        return (now - start) / NANOS_PER_MILLI;
-    }
-
     @Override
     public void onSent() {
         armTimer(nextTimerAt());
