Choose the rendezvous engine among all engines again

Equal prompts met at the first engine with newer weights and were sent on from there once it was busy.

--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -238,9 +238,7 @@
         Set<Candidate> sampled = new LinkedHashSet<>(sample(candidates, SAMPLED_ENGINES));
         candidates.stream()
                 .filter(c -> c.mCachedTokens > 0)
-                .max(
-                        Comparator.<Candidate>comparingInt(c -> c.mVersion)
-                                .thenComparingLong(c -> c.mCachedTokens))
+                .max(Comparator.comparingLong(c -> c.mCachedTokens))
                 .ifPresent(sampled::add);
         if (rendezvousEngine != null) {
             sampled.add(rendezvousEngine);
@@ -463,22 +461,16 @@
     }
 
     /**
-     * Returns the rendezvous engine of a prompt whose shared parts no engine with the newest
-     * weights is known to have, null if one has some of them or the prompt has no shared parts.
-     *
-     * <p>While a rollout goes on, the engines with older weights still have the parts. The prompts
-     * that come to the first engines with newer weights would otherwise spread, and each of these
-     * engines would compute the same parts.
+     * Returns the rendezvous engine of a prompt whose shared parts no engine is known to have, null
+     * if an engine has some of them or the prompt has no shared parts.
      */
     private static Candidate rendezvousEngine(List<Candidate> candidates, Prompt prompt) {
-        int newest = candidates.stream().mapToInt(c -> c.mVersion).max().orElse(0);
-        List<Candidate> current = candidates.stream().filter(c -> c.mVersion == newest).toList();
-        boolean isUncached = current.stream().allMatch(c -> c.mCachedTokens == 0);
+        boolean isUncached = candidates.stream().allMatch(c -> c.mCachedTokens == 0);
         if (!isUncached || prompt.parts().size() < 2) {
             return null;
         }
         long key = prompt.parts().get(0).id();
-        return current.stream()
+        return candidates.stream()
                 .max(Comparator.comparingLong(c -> rendezvousScore(key, c.mState)))
                 .orElse(null);
     }
