Bound responses of the store, and do not read callers who do not read

A response of the store could grow to 16 MiB for each of several calls at a time, a third of the process's direct memory; a page has at most 1 MiB. A caller that pipelines requests and reads no response filled the outbound buffer without limit.

--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -88,11 +88,18 @@
         context.close();
     }
 
+    /**
+     * Slows down the upstream of a caller that reads slowly. Between exchanges, requests of a
+     * caller that does not read its responses are not read either, as the responses would fill the
+     * memory.
+     */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
+        boolean writable = mChannel.isWritable();
         if (mExchange != null) {
-            mExchange.onCallerWritabilityChanged(mChannel.isWritable());
+            mExchange.onCallerWritabilityChanged(writable);
         }
+        mChannel.config().setAutoRead(writable || mExchange != null);
     }
 
     @Override
--- a/gateway/src/main/java/org/catkinproxy/gateway/PooledHttpClient.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PooledHttpClient.java
@@ -43,7 +43,9 @@
  * unresponsive one costs only one timeout. Used by the event loop only.
  */
 public final class PooledHttpClient {
-    private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+    /** Limit for a response; a page of rows has at most 1 MiB, apart from its encoding. */
+    private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+
     private static final int CONNECT_TIMEOUT_MILLIS = 700;
 
     /** Maximum number of idle connections to one address. */
