--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -30,6 +30,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -85,6 +86,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            mGateway.log()
+                    .record(GatewayEvent.TASK_FAILED, "task", "caller connection", "reason", cause);
+        }
         context.close();
     }
 
