--- a/bench/src/main/java/org/catkinproxy/bench/CostScene.java
+++ b/bench/src/main/java/org/catkinproxy/bench/DispatcherFixture.java
@@ -22,9 +22,9 @@
 /**
  * A dispatcher that knows many engines and full caches, to measure what one event costs.
  *
- * <p>Not safe for use by several threads.
+ * <p>Not thread-safe.
  */
-final class CostScene {
+final class DispatcherFixture {
     private static final int PROMPT_BLOCKS = 28;
     private static final int ENGINE_BLOCKS = 280;
     private static final double SPEED = 40_000;
@@ -37,23 +37,23 @@
     private final long[] mSequences;
     private long mRequests;
 
-    private CostScene(int engines) {
+    private DispatcherFixture(int engines) {
         mEngines = engines;
         mSequences = new long[engines];
     }
 
-    /** Returns a dispatcher that has heard of so many engines, each with a full cache. */
-    static CostScene create(int engines) {
-        CostScene scene = new CostScene(engines);
+    /** Returns a fixture whose dispatcher knows that many engines, each with a full cache. */
+    static DispatcherFixture create(int engines) {
+        DispatcherFixture fixture = new DispatcherFixture(engines);
         for (int i = 0; i < engines; i++) {
-            scene.mDispatcher.handle(NOW, new RouteEvent.EngineReported(report(i)));
+            fixture.mDispatcher.handle(NOW, new RouteEvent.EngineReported(report(i)));
         }
         for (int i = 0; i < engines; i++) {
             for (int prompt = 0; prompt < ENGINE_BLOCKS / PROMPT_BLOCKS; prompt++) {
-                scene.store(i, keys(scene.mRandom.nextInt(engines * 4)));
+                fixture.store(i, keys(fixture.mRandom.nextInt(engines * 4)));
             }
         }
-        return scene;
+        return fixture;
     }
 
     /** Lets one request arrive, and withdraws it. */
--- a/bench/src/main/java/org/catkinproxy/bench/RouteBenchmark.java
+++ b/bench/src/main/java/org/catkinproxy/bench/RouteBenchmark.java
@@ -21,23 +21,23 @@
     @Param({"6", "13", "7200"})
     public int engines;
 
-    private CostScene mScene;
+    private DispatcherFixture mFixture;
 
     /** Fills the caches. */
     @Setup(Level.Iteration)
     public void setUp() {
-        mScene = CostScene.create(engines);
+        mFixture = DispatcherFixture.create(engines);
     }
 
     /** Measures an arrival with its dispatch, and the withdrawal. */
     @Benchmark
     public Object decision() {
-        return mScene.decide();
+        return mFixture.decide();
     }
 
     /** Measures the event of one stored block. */
     @Benchmark
     public Object cacheEvent() {
-        return mScene.storeOne();
+        return mFixture.storeOne();
     }
 }
--- a/bench/src/main/java/org/catkinproxy/bench/Slopes.java
+++ b/bench/src/main/java/org/catkinproxy/bench/Slopes.java
@@ -29,13 +29,13 @@
     }
 
     private static double decisionMicros(int engines, int rounds) {
-        CostScene scene = CostScene.create(engines);
-        return micros(rounds, scene::decide);
+        DispatcherFixture fixture = DispatcherFixture.create(engines);
+        return micros(rounds, fixture::decide);
     }
 
     private static double eventMicros(int engines, int rounds) {
-        CostScene scene = CostScene.create(engines);
-        return micros(rounds, scene::storeOne);
+        DispatcherFixture fixture = DispatcherFixture.create(engines);
+        return micros(rounds, fixture::storeOne);
     }
 
     /** The first half warms up and is not counted. */
@@ -61,9 +61,9 @@
 
     private static double dispatcherKibibytes(int engines) {
         long before = usedBytes();
-        CostScene scene = CostScene.create(engines);
+        DispatcherFixture fixture = DispatcherFixture.create(engines);
         long after = usedBytes();
-        scene.storeOne();
+        fixture.storeOne();
         return (after - before) / 1_024.0;
     }
 
--- a/bench/src/main/java/org/catkinproxy/chaos/ChaosMain.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/ChaosMain.java
@@ -55,48 +55,48 @@
         Runtime.getRuntime().addShutdownHook(new Thread(cluster::close, "end"));
         System.out.println("Settings and logs are in " + directory);
         cluster.start();
-        Scene scene = new Scene(cluster);
-        scene.sheets().applyFirst();
+        RunContext context = new RunContext(cluster);
+        context.sheets().applyFirst();
         ExecutorService threads = Executors.newCachedThreadPool();
-        startCallers(scene, threads);
-        show(scene, steps, threads);
+        startCallers(context, threads);
+        show(context, steps, threads);
         Cluster.sleep(SETTLE);
-        scene.end();
+        context.end();
         threads.shutdown();
         threads.awaitTermination(2, TimeUnit.MINUTES);
-        scene.filings().audit(FilingBook.executions(cluster.services()), scene.ledger());
-        return scene.ledger().print();
+        context.filings().audit(FilingBook.executions(cluster.services()), context.ledger());
+        return context.ledger().print();
     }
 
-    private void startCallers(Scene scene, ExecutorService threads) {
+    private void startCallers(RunContext context, ExecutorService threads) {
         Random random = new Random(mSeed);
         for (int i = 0; i < STREAM_WORKERS; i++) {
-            execute(scene, threads, new StreamWorker(scene, i, random.nextLong()));
+            execute(context, threads, new StreamWorker(context, i, random.nextLong()));
         }
         for (int i = 0; i < FILING_WORKERS; i++) {
-            execute(scene, threads, new FilingWorker(scene, i, random.nextLong(), threads));
+            execute(context, threads, new FilingWorker(context, i, random.nextLong(), threads));
         }
-        execute(scene, threads, new RevisionWatcher(scene));
+        execute(context, threads, new RevisionWatcher(context));
     }
 
-    private static void show(Scene scene, List<FaultStep> steps, ExecutorService threads) {
+    private static void show(RunContext context, List<FaultStep> steps, ExecutorService threads) {
         long start = System.nanoTime();
         for (FaultStep step : steps) {
             long wait = step.at().toNanos() - (System.nanoTime() - start);
             Cluster.sleep(Duration.ofNanos(Math.max(0, wait)));
-            scene.ledger().note(step.kind() + " for " + step.length().toMillis() + " ms");
-            execute(scene, threads, () -> step.kind().show(scene, step));
+            context.ledger().note(step.kind() + " for " + step.length().toMillis() + " ms");
+            execute(context, threads, () -> step.kind().show(context, step));
         }
     }
 
     /** Runs one part; a failure of the part itself is printed and not taken for a promise. */
-    private static void execute(Scene scene, ExecutorService threads, Runnable part) {
+    private static void execute(RunContext context, ExecutorService threads, Runnable part) {
         threads.execute(
                 () -> {
                     try {
                         part.run();
                     } catch (RuntimeException e) {
-                        scene.ledger().failed(e);
+                        context.ledger().failed(e);
                     }
                 });
     }
--- a/bench/src/main/java/org/catkinproxy/chaos/FilingWorker.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/FilingWorker.java
@@ -23,7 +23,7 @@
     private static final double SHARE_TWICE = 0.15;
     private static final Duration PAUSE = Duration.ofMillis(100);
 
-    private final Scene mScene;
+    private final RunContext mContext;
     private final int mNumber;
     private final List<String> mKnown;
     private final String mKey;
@@ -31,10 +31,10 @@
     private final Random mRandom;
     private final ExecutorService mThreads;
 
-    FilingWorker(Scene scene, int number, long seed, ExecutorService threads) {
-        mScene = scene;
+    FilingWorker(RunContext context, int number, long seed, ExecutorService threads) {
+        mContext = context;
         mNumber = number;
-        mKnown = scene.cluster().daemons().stream().map(Member::address).toList();
+        mKnown = context.cluster().daemons().stream().map(Member::address).toList();
         mKey = DemoSheet.keyOf(DemoSheet.WORKSPACES.get(number % DemoSheet.WORKSPACES.size()));
         mCaller = new Caller(mKnown, mKey);
         mRandom = new Random(seed);
@@ -43,7 +43,7 @@
 
     @Override
     public void run() {
-        for (int number = 1; !mScene.isOver(); number++) {
+        for (int number = 1; !mContext.isOver(); number++) {
             String key = "filing-" + mNumber + "-" + number;
             String body = "{\"filing\":\"" + key + "\"}";
             if (mRandom.nextDouble() < SHARE_TWICE) {
@@ -72,7 +72,7 @@
 
     private void note(String key, boolean alone, List<FilingAnswer> answers) {
         FilingAnswer last = answers.get(answers.size() - 1);
-        mScene.ledger().outcome("filing " + last.kind() + " " + last.code());
-        mScene.filings().add(key, alone, answers);
+        mContext.ledger().outcome("filing " + last.kind() + " " + last.code());
+        mContext.filings().add(key, alone, answers);
     }
 }
--- a/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/LeavingEngine.java
@@ -20,28 +20,28 @@
 
     private LeavingEngine() {}
 
-    static void run(Scene scene, Member engine) {
-        if (!scene.holdSoon(engine)) {
+    static void run(RunContext context, Member engine) {
+        if (!context.holdSoon(engine)) {
             return;
         }
         try {
-            boolean listed = list(scene, engine);
+            boolean listed = list(context, engine);
             Cluster.sleep(LIMIT.minus(LISTED));
             long before = generations(engine);
             Cluster.sleep(WATCHED);
             long after = generations(engine);
             if (listed) {
                 String evidence = engine.id() + " took " + (after - before) + " new requests";
-                scene.ledger().check(Promise.LEAVING_NO_NEW_WORK, after == before, evidence);
+                context.ledger().check(Promise.LEAVING_NO_NEW_WORK, after == before, evidence);
             }
         } catch (IOException e) {
-            scene.ledger().note(engine.id() + " did not tell its work: " + e.getMessage());
+            context.ledger().note(engine.id() + " did not tell its work: " + e.getMessage());
         } finally {
             engine.process().kill();
-            scene.cluster().list(engine, "live");
+            context.cluster().list(engine, "live");
             engine.process().start();
-            Cluster.await(engine.id(), () -> scene.cluster().isListening(engine, "/v1/load"));
-            scene.release(engine);
+            Cluster.await(engine.id(), () -> context.cluster().isListening(engine, "/v1/load"));
+            context.release(engine);
         }
     }
 
@@ -50,13 +50,13 @@
      *
      * @return whether the list could be read meanwhile
      */
-    private static boolean list(Scene scene, Member engine) {
-        Member platform = scene.cluster().platform();
-        boolean readable = scene.holdSoon(platform);
-        scene.cluster().list(engine, "leaving");
+    private static boolean list(RunContext context, Member engine) {
+        Member platform = context.cluster().platform();
+        boolean readable = context.holdSoon(platform);
+        context.cluster().list(engine, "leaving");
         Cluster.sleep(LISTED);
         if (readable) {
-            scene.release(platform);
+            context.release(platform);
         }
         return readable;
     }
--- a/bench/src/main/java/org/catkinproxy/chaos/PlannedStop.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/PlannedStop.java
@@ -28,8 +28,8 @@
 
     private PlannedStop() {}
 
-    static void run(Scene scene, Member daemon) {
-        if (!scene.holdSoon(daemon)) {
+    static void run(RunContext context, Member daemon) {
+        if (!context.holdSoon(daemon)) {
             return;
         }
         ExecutorService threads = Executors.newFixedThreadPool(STREAMS);
@@ -37,45 +37,45 @@
             List<Future<StreamOutcome>> streams = new ArrayList<>();
             for (int i = 0; i < STREAMS; i++) {
                 String prompt = Prompts.text("stop " + System.nanoTime(), PROMPT_BYTES);
-                streams.add(threads.submit(() -> stream(scene, daemon, prompt)));
+                streams.add(threads.submit(() -> stream(context, daemon, prompt)));
             }
             Cluster.sleep(BEFORE);
-            stop(scene, daemon);
-            streams.forEach(s -> check(scene, daemon, s));
+            stop(context, daemon);
+            streams.forEach(s -> check(context, daemon, s));
             awaitEnd(daemon);
         } finally {
             threads.shutdownNow();
             daemon.process().terminate();
             daemon.process().start();
-            ProcessFaults.checkServes(scene, daemon);
-            scene.release(daemon);
+            ProcessFaults.checkServes(context, daemon);
+            context.release(daemon);
         }
     }
 
-    private static StreamOutcome stream(Scene scene, Member daemon, String prompt) {
+    private static StreamOutcome stream(RunContext context, Member daemon, String prompt) {
         Caller caller = new Caller(List.of(daemon.address()), DemoSheet.keyOf("coatings"));
         long start = System.nanoTime();
         StreamOutcome outcome = caller.completeAt(daemon.address(), prompt, MAX_TOKENS);
-        scene.streams().check(prompt, MAX_TOKENS, start, outcome);
+        context.streams().check(prompt, MAX_TOKENS, start, outcome);
         return outcome;
     }
 
-    private static void stop(Scene scene, Member daemon) {
+    private static void stop(RunContext context, Member daemon) {
         try {
-            Web.Answer answer = scene.operator().stop(daemon, daemon.id());
-            scene.ledger().outcome("planned stop " + answer.status());
+            Web.Answer answer = context.operator().stop(daemon, daemon.id());
+            context.ledger().outcome("planned stop " + answer.status());
         } catch (IOException e) {
-            scene.ledger().outcome("planned stop without an answer");
+            context.ledger().outcome("planned stop without an answer");
         }
     }
 
     /** A refusal or a stated error is no cut; a connection that ends in mid-stream is one. */
-    private static void check(Scene scene, Member daemon, Future<StreamOutcome> stream) {
+    private static void check(RunContext context, Member daemon, Future<StreamOutcome> stream) {
         try {
             StreamOutcome outcome = stream.get();
             boolean cut = !outcome.isDone() && outcome.error().startsWith("connection");
             String evidence = daemon.id() + " cut a stream: " + outcome;
-            scene.ledger().check(Promise.STOP_CUTS_NOTHING, !cut, evidence);
+            context.ledger().check(Promise.STOP_CUTS_NOTHING, !cut, evidence);
         } catch (ExecutionException e) {
             throw new IllegalStateException(e);
         } catch (InterruptedException e) {
--- a/bench/src/main/java/org/catkinproxy/chaos/ProcessFaults.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/ProcessFaults.java
@@ -22,8 +22,8 @@
 
     private ProcessFaults() {}
 
-    static void pause(Scene scene, Member member, Duration length) {
-        if (!scene.holdSoon(member)) {
+    static void pause(RunContext context, Member member, Duration length) {
+        if (!context.holdSoon(member)) {
             return;
         }
         try {
@@ -31,12 +31,12 @@
             Cluster.sleep(length);
         } finally {
             member.process().resume();
-            scene.release(member);
+            context.release(member);
         }
     }
 
-    static void killEngine(Scene scene, Member engine, Duration length) {
-        if (!scene.holdSoon(engine)) {
+    static void killEngine(RunContext context, Member engine, Duration length) {
+        if (!context.holdSoon(engine)) {
             return;
         }
         try {
@@ -44,81 +44,82 @@
             Cluster.sleep(length);
         } finally {
             engine.process().start();
-            Cluster.await(engine.id(), () -> scene.cluster().isListening(engine, "/v1/load"));
-            scene.release(engine);
+            Cluster.await(engine.id(), () -> context.cluster().isListening(engine, "/v1/load"));
+            context.release(engine);
         }
     }
 
-    static void killDaemon(Scene scene, Member daemon, Duration length) {
-        if (!scene.holdSoon(daemon)) {
+    static void killDaemon(RunContext context, Member daemon, Duration length) {
+        if (!context.holdSoon(daemon)) {
             return;
         }
         try {
             daemon.process().kill();
             Cluster.sleep(length);
             daemon.process().start();
-            checkServes(scene, daemon);
+            checkServes(context, daemon);
         } finally {
             daemon.process().start();
-            scene.release(daemon);
+            context.release(daemon);
         }
     }
 
     /** Kills every daemon that is not disturbed otherwise, and starts them with the store down. */
-    static void killAllDaemons(Scene scene, Duration length) {
-        Member platform = scene.cluster().platform();
-        if (!scene.holdSoon(platform)) {
+    static void killAllDaemons(RunContext context, Duration length) {
+        Member platform = context.cluster().platform();
+        if (!context.holdSoon(platform)) {
             return;
         }
-        List<Member> daemons = scene.cluster().daemons().stream().filter(scene::hold).toList();
+        List<Member> daemons = context.cluster().daemons().stream().filter(context::hold).toList();
         try {
             daemons.forEach(d -> d.process().kill());
             ObjectNode outage = Web.JSON.createObjectNode().put("fault", "outage");
-            scene.cluster().fault(platform, outage);
+            context.cluster().fault(platform, outage);
             daemons.forEach(d -> d.process().start());
             Cluster.sleep(length);
-            scene.cluster().clearFaults(platform);
-            daemons.forEach(d -> checkServes(scene, d));
+            context.cluster().clearFaults(platform);
+            daemons.forEach(d -> checkServes(context, d));
         } finally {
-            scene.release(platform);
-            daemons.forEach(scene::release);
+            context.release(platform);
+            daemons.forEach(context::release);
         }
     }
 
     /** Waits until a daemon says that it is ready, and sends it a request. */
-    static void checkServes(Scene scene, Member daemon) {
+    static void checkServes(RunContext context, Member daemon) {
         long end = System.nanoTime() + SERVE_LIMIT.toNanos();
-        while (!scene.cluster().isListening(daemon, "/ready")) {
+        while (!context.cluster().isListening(daemon, "/ready")) {
             if (System.nanoTime() - end > 0) {
-                scene.ledger().check(Promise.RESTART_SERVES, false, daemon.id() + " is not ready");
+                context.ledger()
+                        .check(Promise.RESTART_SERVES, false, daemon.id() + " is not ready");
                 return;
             }
             Cluster.sleep(POLL);
         }
-        StreamOutcome outcome = probe(scene, daemon);
+        StreamOutcome outcome = probe(context, daemon);
         if (!outcome.isDone()) {
-            if (scene.cluster().daemons().stream().noneMatch(d -> serves(scene, d))) {
+            if (context.cluster().daemons().stream().noneMatch(d -> serves(context, d))) {
                 String name = "restarted daemon refuses as all others do: " + outcome.error();
-                scene.ledger().outcome(name);
+                context.ledger().outcome(name);
                 return;
             }
             // An engine may have become able to answer between the two.
-            outcome = probe(scene, daemon);
+            outcome = probe(context, daemon);
         }
         String evidence = daemon.id() + " is ready and answers " + outcome;
-        scene.ledger().check(Promise.RESTART_SERVES, outcome.isDone(), evidence);
+        context.ledger().check(Promise.RESTART_SERVES, outcome.isDone(), evidence);
     }
 
-    private static boolean serves(Scene scene, Member daemon) {
-        return probe(scene, daemon).isDone();
+    private static boolean serves(RunContext context, Member daemon) {
+        return probe(context, daemon).isDone();
     }
 
-    private static StreamOutcome probe(Scene scene, Member daemon) {
+    private static StreamOutcome probe(RunContext context, Member daemon) {
         Caller caller = new Caller(List.of(daemon.address()), DemoSheet.keyOf("coatings"));
         String prompt = Prompts.text("probe " + System.nanoTime(), PROBE_BYTES);
         long start = System.nanoTime();
         StreamOutcome outcome = caller.completeAt(daemon.address(), prompt, PROBE_TOKENS);
-        scene.streams().check(prompt, PROBE_TOKENS, start, outcome);
+        context.streams().check(prompt, PROBE_TOKENS, start, outcome);
         return outcome;
     }
 }
--- a/bench/src/main/java/org/catkinproxy/chaos/RevisionWatcher.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/RevisionWatcher.java
@@ -12,32 +12,32 @@
 final class RevisionWatcher implements Runnable {
     private static final Duration PAUSE = Duration.ofMillis(300);
 
-    private final Scene mScene;
+    private final RunContext mContext;
     private final Map<String, Long> mHighest = new HashMap<>();
 
-    RevisionWatcher(Scene scene) {
-        mScene = scene;
+    RevisionWatcher(RunContext context) {
+        mContext = context;
     }
 
     @Override
     public void run() {
-        while (!mScene.isOver()) {
-            mScene.cluster().daemons().forEach(this::look);
+        while (!mContext.isOver()) {
+            mContext.cluster().daemons().forEach(this::look);
             Cluster.sleep(PAUSE);
         }
     }
 
     private void look(Member daemon) {
-        if (!mScene.cluster().isListening(daemon, "/ready")) {
+        if (!mContext.cluster().isListening(daemon, "/ready")) {
             return;
         }
         try {
-            long revision = mScene.operator().revision(daemon);
+            long revision = mContext.operator().revision(daemon);
             long highest = mHighest.merge(daemon.id(), revision, Math::max);
             String evidence = daemon.id() + " had " + highest + " and has " + revision;
-            mScene.ledger().check(Promise.REVISION_NEVER_REVERTS, revision >= highest, evidence);
+            mContext.ledger().check(Promise.REVISION_NEVER_REVERTS, revision >= highest, evidence);
         } catch (IOException e) {
-            mScene.ledger().outcome("a ready daemon did not tell its revision");
+            mContext.ledger().outcome("a ready daemon did not tell its revision");
         }
     }
 }
--- a/bench/src/main/java/org/catkinproxy/chaos/Scene.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/RunContext.java
@@ -9,8 +9,12 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** What all parts of a run share. Safe for use by any thread. */
-final class Scene {
+/**
+ * The cluster, the checks and the results that all workers and faults of one run share.
+ *
+ * <p>A member is held by at most one fault at a time. Thread-safe.
+ */
+final class RunContext {
     private static final Duration HOLD_LIMIT = Duration.ofSeconds(12);
     private static final Duration HOLD_POLL = Duration.ofMillis(100);
 
@@ -25,7 +29,7 @@
     private final Map<String, Long> mDisturbedNanos = new ConcurrentHashMap<>();
     private volatile boolean mOver;
 
-    Scene(Cluster cluster) {
+    RunContext(Cluster cluster) {
         mCluster = cluster;
     }
 
@@ -57,16 +61,16 @@
         return mFilings;
     }
 
-    /** Takes a member for one failure; nothing else disturbs it until it is released. */
+    /** Holds a member for one fault; no other fault affects it until it is released. */
     boolean hold(Member member) {
         boolean held = mHeld.add(member.id());
         if (held) {
-            disturbed(member);
+            recordDisturbance(member);
         }
         return held;
     }
 
-    /** Waits a while for {@link #hold}; says so if the member stays taken. */
+    /** Waits for {@link #hold}; records that the fault is skipped if the member stays held. */
     boolean holdSoon(Member member) {
         long end = System.nanoTime() + HOLD_LIMIT.toNanos();
         while (!hold(member)) {
@@ -80,16 +84,16 @@
     }
 
     void release(Member member) {
-        disturbed(member);
+        recordDisturbance(member);
         mHeld.remove(member.id());
     }
 
-    /** Notes that a member is or just was disturbed. */
-    void disturbed(Member member) {
+    /** Records that a fault affects a member or has just ended. */
+    void recordDisturbance(Member member) {
         mDisturbedNanos.put(member.id(), System.nanoTime());
     }
 
-    /** Tells whether nothing disturbed a member from {@code nanos} on. */
+    /** Returns whether no fault has affected a member since {@code nanos}. */
     boolean isUndisturbedSince(Member member, long nanos) {
         Long last = mDisturbedNanos.get(member.id());
         return !mHeld.contains(member.id()) && (last == null || last - nanos < 0);
@@ -99,7 +103,7 @@
         return mOver;
     }
 
-    /** Tells all parts to come to an end. */
+    /** Makes all workers and faults end. */
     void end() {
         mOver = true;
     }
--- a/bench/src/main/java/org/catkinproxy/chaos/SheetWriter.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/SheetWriter.java
@@ -14,10 +14,10 @@
 final class SheetWriter {
     private static final String POOL = "gpu-a";
 
-    private final Scene mScene;
+    private final RunContext mContext;
 
-    SheetWriter(Scene scene) {
-        mScene = scene;
+    SheetWriter(RunContext context) {
+        mContext = context;
     }
 
     /** Applies a sheet with a new version at one daemon, and checks that it spreads. */
@@ -26,12 +26,12 @@
         if (expect < 0) {
             return;
         }
-        int version = mScene.versions().offer();
+        int version = mContext.versions().offer();
         Web.Answer answer = send(daemon, version, expect);
         if (answer.isSuccess()) {
             accepted(version, expect + 1);
         }
-        mScene.ledger().outcome("sheet " + answer.status() + " " + answer.code());
+        mContext.ledger().outcome("sheet " + answer.status() + " " + answer.code());
     }
 
     /** Applies two sheets on the same revision at two daemons at the same time. */
@@ -40,15 +40,15 @@
         if (expect < 0) {
             return;
         }
-        int one = mScene.versions().offer();
-        int two = mScene.versions().offer();
+        int one = mContext.versions().offer();
+        int two = mContext.versions().offer();
         List<Offer> offers = List.of(new Offer(first, one), new Offer(second, two));
         List<Integer> winners =
                 offers.parallelStream()
                         .filter(o -> send(o.daemon(), o.version(), expect).isSuccess())
                         .map(Offer::version)
                         .toList();
-        mScene.ledger()
+        mContext.ledger()
                 .check(
                         Promise.ONE_OPERATOR_WINS,
                         winners.size() <= 1,
@@ -56,45 +56,45 @@
         if (winners.size() == 1) {
             accepted(winners.get(0), expect + 1);
         }
-        mScene.ledger().outcome("race with winners: " + winners.size());
+        mContext.ledger().outcome("race with winners: " + winners.size());
     }
 
     private void accepted(int version, long revision) {
-        mScene.versions().accepted(version);
-        mScene.ledger().note("revision " + revision + " with " + Versions.name(version));
+        mContext.versions().accepted(version);
+        mContext.ledger().note("revision " + revision + " with " + Versions.name(version));
         checkSpread(revision);
     }
 
     private void checkSpread(long revision) {
         long accepted = System.nanoTime();
         Cluster.sleep(Versions.IN_FORCE_LIMIT);
-        for (Member daemon : mScene.cluster().daemons()) {
-            if (!mScene.isUndisturbedSince(daemon, accepted)) {
+        for (Member daemon : mContext.cluster().daemons()) {
+            if (!mContext.isUndisturbedSince(daemon, accepted)) {
                 continue;
             }
             try {
-                long found = mScene.operator().revision(daemon);
+                long found = mContext.operator().revision(daemon);
                 String evidence = daemon.id() + " has " + found + ", not " + revision;
-                mScene.ledger().check(Promise.REVISION_IN_FORCE, found >= revision, evidence);
+                mContext.ledger().check(Promise.REVISION_IN_FORCE, found >= revision, evidence);
             } catch (IOException e) {
-                mScene.ledger().outcome("status of an undisturbed daemon failed");
+                mContext.ledger().outcome("status of an undisturbed daemon failed");
             }
         }
     }
 
     private long expect(Member daemon) {
         try {
-            return mScene.operator().revision(daemon);
+            return mContext.operator().revision(daemon);
         } catch (IOException e) {
-            mScene.ledger().outcome("no daemon to apply a sheet at");
+            mContext.ledger().outcome("no daemon to apply a sheet at");
             return -1;
         }
     }
 
     private Web.Answer send(Member daemon, int version, long expect) {
-        String csv = DemoSheet.csv(mScene.cluster(), Versions.name(version), POOL, Set.of());
+        String csv = DemoSheet.csv(mContext.cluster(), Versions.name(version), POOL, Set.of());
         try {
-            return mScene.operator().apply(daemon, csv, expect);
+            return mContext.operator().apply(daemon, csv, expect);
         } catch (IOException e) {
             return new Web.Answer(0, "{}");
         }
@@ -102,11 +102,11 @@
 
     /** Waits until a daemon can be asked, and applies the first sheet. */
     void applyFirst() {
-        Member daemon = mScene.cluster().daemons().get(0);
-        int version = mScene.versions().offer();
+        Member daemon = mContext.cluster().daemons().get(0);
+        int version = mContext.versions().offer();
         Cluster.await("the first sheet", () -> send(daemon, version, 0).isSuccess());
-        mScene.versions().accepted(version);
-        mScene.cluster().daemons().forEach(mScene.cluster()::awaitReady);
+        mContext.versions().accepted(version);
+        mContext.cluster().daemons().forEach(mContext.cluster()::awaitReady);
         Cluster.sleep(Duration.ofSeconds(2));
     }
 
--- a/bench/src/main/java/org/catkinproxy/chaos/StandinFaults.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/StandinFaults.java
@@ -10,34 +10,34 @@
 final class StandinFaults {
     private StandinFaults() {}
 
-    static void platform(Scene scene, FaultStep step, String name, double probability) {
-        show(scene, scene.cluster().platform(), step, name, probability);
+    static void platform(RunContext context, FaultStep step, String name, double probability) {
+        show(context, context.cluster().platform(), step, name, probability);
     }
 
-    static void engine(Scene scene, FaultStep step, String name, double probability) {
-        show(scene, FaultKind.pick(scene.cluster().engines(), step), step, name, probability);
+    static void engine(RunContext context, FaultStep step, String name, double probability) {
+        show(context, FaultKind.pick(context.cluster().engines(), step), step, name, probability);
     }
 
-    static void service(Scene scene, FaultStep step, String name, double probability) {
-        show(scene, FaultKind.pick(scene.cluster().services(), step), step, name, probability);
+    static void service(RunContext context, FaultStep step, String name, double probability) {
+        show(context, FaultKind.pick(context.cluster().services(), step), step, name, probability);
     }
 
     private static void show(
-            Scene scene, Member member, FaultStep step, String name, double probability) {
-        if (!scene.holdSoon(member)) {
+            RunContext context, Member member, FaultStep step, String name, double probability) {
+        if (!context.holdSoon(member)) {
             return;
         }
         try {
             ObjectNode fault = Web.JSON.createObjectNode();
             fault.put("fault", name).put("probability", probability).put("seed", step.seed());
             fault.put("delayMs", step.length().toMillis());
-            scene.cluster().fault(member, fault);
+            context.cluster().fault(member, fault);
             Cluster.sleep(step.length());
             if (!name.equals("refuse")) {
-                scene.cluster().clearFaults(member);
+                context.cluster().clearFaults(member);
             }
         } finally {
-            scene.release(member);
+            context.release(member);
         }
     }
 }
--- a/bench/src/main/java/org/catkinproxy/chaos/StreamWorker.java
+++ b/bench/src/main/java/org/catkinproxy/chaos/StreamWorker.java
@@ -19,29 +19,29 @@
     private static final int MAX_CONNECTIONS = 8;
     private static final Duration PAUSE = Duration.ofMillis(100);
 
-    private final Scene mScene;
+    private final RunContext mContext;
     private final String mName;
     private final String mWorkspace;
     private final Caller mCaller;
     private final Random mRandom;
 
-    StreamWorker(Scene scene, int number, long seed) {
-        mScene = scene;
+    StreamWorker(RunContext context, int number, long seed) {
+        mContext = context;
         mName = "worker-" + number;
         mWorkspace = DemoSheet.WORKSPACES.get(number % DemoSheet.WORKSPACES.size());
-        List<String> known = scene.cluster().daemons().stream().map(Member::address).toList();
+        List<String> known = context.cluster().daemons().stream().map(Member::address).toList();
         mCaller = new Caller(known, DemoSheet.keyOf(mWorkspace));
         mRandom = new Random(seed);
     }
 
     @Override
     public void run() {
-        for (int number = 1; !mScene.isOver(); number++) {
+        for (int number = 1; !mContext.isOver(); number++) {
             String prompt = prompt(number);
             int maxTokens = MIN_TOKENS + mRandom.nextInt(TOKENS_SPREAD);
             long start = System.nanoTime();
             StreamOutcome outcome = mCaller.complete(prompt, maxTokens, MAX_CONNECTIONS);
-            mScene.streams().check(prompt, maxTokens, start, outcome);
+            mContext.streams().check(prompt, maxTokens, start, outcome);
             Cluster.sleep(PAUSE);
         }
     }
--- a/bench/src/main/java/org/catkinproxy/demo/Cluster.java
+++ b/bench/src/main/java/org/catkinproxy/demo/Cluster.java
@@ -213,9 +213,10 @@
 
     private Member standin(
             String id, String kind, String address, String pool, List<String> arguments) {
-        Child child = Child.java(id, STANDIN_HEAP, STANDIN, arguments, logOf(id));
-        child.start();
-        return new Member(id, kind, address, "", "", pool, child);
+        ManagedProcess process =
+                ManagedProcess.java(id, STANDIN_HEAP, STANDIN, arguments, logOf(id));
+        process.start();
+        return new Member(id, kind, address, "", "", pool, process);
     }
 
     private Member startDaemon(String id) {
@@ -230,9 +231,9 @@
             throw new UncheckedIOException(e);
         }
         List<String> arguments = List.of("--settings", settings.toString());
-        Child child = Child.java(id, DAEMON_HEAP, DAEMON, arguments, logOf(id));
-        child.start();
-        return new Member(id, "entry", callers, operators, peers, "", child);
+        ManagedProcess process = ManagedProcess.java(id, DAEMON_HEAP, DAEMON, arguments, logOf(id));
+        process.start();
+        return new Member(id, "entry", callers, operators, peers, "", process);
     }
 
     private String nextAddress() {
--- a/bench/src/main/java/org/catkinproxy/demo/DemoMain.java
+++ b/bench/src/main/java/org/catkinproxy/demo/DemoMain.java
@@ -42,7 +42,7 @@
                     return null;
                 });
         if (checks.allHeld()) {
-            new Tour(cluster, mCtl, checks).run();
+            new DemoScenario(cluster, mCtl, checks).run();
         }
         if (!mCheck && checks.allHeld()) {
             stayUp(cluster);
--- a/bench/src/main/java/org/catkinproxy/demo/Tour.java
+++ b/bench/src/main/java/org/catkinproxy/demo/DemoScenario.java
@@ -13,7 +13,7 @@
 import java.util.Set;
 
 /** Sends real requests through a cluster and checks what comes back. Used by one thread. */
-final class Tour {
+final class DemoScenario {
     private static final int PROMPT_BYTES = 64 * 1024;
     private static final int MAX_TOKENS = 40;
     private static final int TRIES = 3;
@@ -25,7 +25,7 @@
     private final Operator mOperator = new Operator();
     private final Caller mCaller;
 
-    Tour(Cluster cluster, Path ctl, Checks checks) {
+    DemoScenario(Cluster cluster, Path ctl, Checks checks) {
         mCluster = cluster;
         mChecks = checks;
         Member first = cluster.daemons().get(0);
--- a/bench/src/main/java/org/catkinproxy/demo/Child.java
+++ b/bench/src/main/java/org/catkinproxy/demo/ManagedProcess.java
@@ -12,7 +12,7 @@
  *
  * <p>Safe for use by any thread; all state is under one lock.
  */
-public final class Child {
+public final class ManagedProcess {
     private static final long END_SECONDS = 5;
 
     private final String mName;
@@ -20,15 +20,15 @@
     private final Path mLog;
     private Process mProcess;
 
-    /** Describes a process; {@link #start} starts it. */
-    public Child(String name, List<String> command, Path log) {
+    /** Creates a process that {@link #start} starts. */
+    public ManagedProcess(String name, List<String> command, Path log) {
         mName = name;
         mCommand = List.copyOf(command);
         mLog = log;
     }
 
     /** Returns a Java process that has this process's class path. */
-    public static Child java(
+    public static ManagedProcess java(
             String name, String heap, String mainClass, List<String> arguments, Path log) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
@@ -39,7 +39,7 @@
         command.add(System.getProperty("java.class.path"));
         command.add(mainClass);
         command.addAll(arguments);
-        return new Child(name, command, log);
+        return new ManagedProcess(name, command, log);
     }
 
     /** Returns the name. */
@@ -68,7 +68,7 @@
         }
     }
 
-    /** Tells whether the process runs or is paused. */
+    /** Returns whether the process runs or is paused. */
     public synchronized boolean isAlive() {
         return mProcess != null && mProcess.isAlive();
     }
@@ -102,7 +102,7 @@
         signal("STOP");
     }
 
-    /** Lets a paused process go on. */
+    /** Resumes a paused process. */
     public void resume() {
         signal("CONT");
     }
--- a/bench/src/main/java/org/catkinproxy/demo/Member.java
+++ b/bench/src/main/java/org/catkinproxy/demo/Member.java
@@ -20,7 +20,7 @@
         String operators,
         String peers,
         String pool,
-        Child process) {
+        ManagedProcess process) {
     /** Returns the address as a URL without a path. */
     public String url() {
         return "http://" + address;
