Weigh the time for an output token by instances that know it

An instance that has seen no stream of an engine end counted with a time of 0, so that engines that few instances knew looked fast in a large fleet (instancesThatDoNotKnowTheSpeedDoNotChangeTheMean, written with the change).

--- a/core/src/main/java/org/catkinproxy/serving/PeerLoads.java
+++ b/core/src/main/java/org/catkinproxy/serving/PeerLoads.java
@@ -16,7 +16,7 @@
  * owner expires it. Times are in nanoseconds of the owner's monotonic clock. Not thread-safe.
  */
 public final class PeerLoads {
-    private static final Load NO_LOAD = new Load(0, 0, 0);
+    private static final Load NO_LOAD = new Load(0, 0);
 
     private final Map<InstanceId, Report> mReports = new HashMap<>();
     private final Map<InstanceId, Load> mTotals = new HashMap<>();
@@ -26,39 +26,44 @@
      *
      * @param requests the number of requests that run or wait at the upstream
      * @param pendingTokens the prompt tokens that these requests still wait for
-     * @param generationMicros the time for an output token there, in microseconds, times {@code
-     *     requests}, so that the sum of several loads yields their weighted mean; 0 if not known
+     * @param timedRequests the requests of instances that know the time for an output token there
+     * @param generationMicros that time, in microseconds, times {@code timedRequests}, so that the
+     *     sum of several loads yields their weighted mean
      */
-    public record Load(int requests, long pendingTokens, long generationMicros) {
+    public record Load(int requests, long pendingTokens, int timedRequests, long generationMicros) {
         private static final double NANOS_PER_MICRO = 1_000;
 
         /** Validates the components. */
         public Load {
             checkArgument(requests >= 0, "requests is negative: %s", requests);
             checkArgument(pendingTokens >= 0, "pendingTokens is negative: %s", pendingTokens);
+            checkArgument(timedRequests >= 0, "timedRequests is negative: %s", timedRequests);
             checkArgument(
                     generationMicros >= 0, "generationMicros is negative: %s", generationMicros);
         }
 
         /** Creates a load of an upstream whose time for an output token is not known. */
         public Load(int requests, long pendingTokens) {
-            this(requests, pendingTokens, 0);
+            this(requests, pendingTokens, 0, 0);
         }
 
-        /** Returns this load with a time for an output token, in ns. */
+        /** Returns this load with a time for an output token, in ns, 0 if not known. */
         public Load withNanosPerOutputToken(double nanos) {
-            return new Load(requests, pendingTokens, (long) (nanos / NANOS_PER_MICRO) * requests);
+            int timed = nanos > 0 ? requests : 0;
+            return new Load(
+                    requests, pendingTokens, timed, (long) (nanos / NANOS_PER_MICRO) * timed);
         }
 
         /** Returns the mean time for an output token, in ns, or 0 if not known. */
         public double nanosPerOutputToken() {
-            return requests == 0 ? 0 : NANOS_PER_MICRO * generationMicros / requests;
+            return timedRequests == 0 ? 0 : NANOS_PER_MICRO * generationMicros / timedRequests;
         }
 
         private Load plus(Load other) {
             return new Load(
                     requests + other.requests,
                     pendingTokens + other.pendingTokens,
+                    timedRequests + other.timedRequests,
                     generationMicros + other.generationMicros);
         }
 
@@ -66,6 +71,7 @@
             return new Load(
                     requests - other.requests,
                     pendingTokens - other.pendingTokens,
+                    timedRequests - other.timedRequests,
                     generationMicros - other.generationMicros);
         }
     }
--- a/core/src/test/java/org/catkinproxy/serving/PeerLoadsTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/PeerLoadsTest.java
@@ -17,6 +17,21 @@
 
 /** Tests that the loads of peers are added up, and that a peer's load expires. */
 class PeerLoadsTest {
+    /** In a large fleet most instances have not seen a stream of an engine end. */
+    @Example
+    void instancesThatDoNotKnowTheSpeedDoNotChangeTheMean() {
+        PeerLoads loads = PeerLoads.create();
+        Load load = new Load(2, 0);
+        loads.update(
+                InstanceId.of("a"), Map.of(ENGINE, load.withNanosPerOutputToken(8_000_000)), 0);
+        loads.update(InstanceId.of("b"), Map.of(ENGINE, load), 0);
+        loads.update(
+                InstanceId.of("c"), Map.of(ENGINE, load.withNanosPerOutputToken(4_000_000)), 0);
+
+        assertThat(loads.total(ENGINE).requests()).isEqualTo(6);
+        assertThat(loads.total(ENGINE).nanosPerOutputToken()).isWithin(1).of(6_000_000);
+    }
+
     private static final long TTL_NANOS = 1_000;
     private static final InstanceId ENGINE = InstanceId.of("engine");
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessageCodec.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessageCodec.java
@@ -90,6 +90,7 @@
     private static void writeLoad(TProtocol out, PeerLoads.Load load) throws TException {
         out.writeI32(load.requests());
         out.writeI64(load.pendingTokens());
+        out.writeI32(load.timedRequests());
         out.writeI64(load.generationMicros());
     }
 
@@ -180,7 +181,7 @@
     }
 
     private static PeerLoads.Load readLoad(TProtocol in) throws TException {
-        return new PeerLoads.Load(in.readI32(), in.readI64(), in.readI64());
+        return new PeerLoads.Load(in.readI32(), in.readI64(), in.readI32(), in.readI64());
     }
 
     private static RolloutState readRollout(TProtocol in) throws TException {
--- a/gateway/src/test/java/org/catkinproxy/gateway/PeerMessageCodecTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/PeerMessageCodecTest.java
@@ -31,7 +31,7 @@
                             HostAndPort.fromParts("10.0.0.1", 7_340),
                             true,
                             false,
-                            Map.of(InstanceId.of("engine"), new PeerLoads.Load(3, 40_000, 90)),
+                            Map.of(InstanceId.of("engine"), new PeerLoads.Load(3, 40_000, 3, 90)),
                             Map.of("upstreams", 812L, "operators", 7L)),
                     new PeerMessage.CacheUpdate(
                             SELF, ADDRESS, true, Map.of(-1L, 0, Long.MIN_VALUE, 512, 7L, 3)),
