Discard the rest of a refused request before closing its connection

Cause: a request whose body is too large was answered with 413 and its connection closed while the caller still sent, which resets the connection, and the caller may lose the response. Not the load: it only made the caller slower than the refusal. Now the output is shut down and what still comes is discarded for a second or 1 MiB.

--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -35,6 +36,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A caller's connection, which handles one request at a time.
@@ -47,6 +49,10 @@
      * Messages queued while a request is open; the connection of a caller that sends more is
      * closed.
      */
+    /** Time for which the rest of a refused request is discarded. */
+    private static final long DISCARD_MILLIS = 1_000;
+
+    private static final long MAX_DISCARDED_BYTES = 1024 * 1024;
     private static final int MAX_PIPELINED_MESSAGES = 64;
 
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -54,6 +60,11 @@
     private final Gateway mGateway;
     private final Deque<HttpObject> mPipelined = new ArrayDeque<>();
     private Channel mChannel;
+
+    /** Whether what the caller still sends is discarded after a refusal. */
+    private boolean mDiscarding;
+
+    private long mDiscardedBytes;
     private HttpRequest mRequest;
     private CompositeByteBuf mBody;
     private Exchange mExchange;
@@ -109,7 +120,9 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (mExchange == null && mPipelined.isEmpty()) {
+        if (mDiscarding) {
+            discard(message);
+        } else if (mExchange == null && mPipelined.isEmpty()) {
             handle((HttpObject) message);
         } else if (mPipelined.size() < MAX_PIPELINED_MESSAGES) {
             mPipelined.addLast((HttpObject) message);
@@ -185,13 +198,37 @@
         refuseAndClose(headTooLarge ? ErrorCode.HEAD_TOO_LARGE : ErrorCode.MALFORMED_HEAD);
     }
 
+    /**
+     * Refuses a request of which the caller may still send a part. The rest is discarded for a
+     * while before the connection is closed: a connection that is closed with unread data is reset,
+     * and the caller would lose the response.
+     */
     private void refuseAndClose(ErrorCode code) {
         dropRequest();
         mCloseAfterResponse = true;
+        mDiscarding = true;
+        mChannel.pipeline().remove(StrictRequestDecoder.class);
+        mGateway.loop().schedule(() -> mChannel.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
         mGateway.log().record(GatewayEvent.REQUEST_REFUSED, "code", code.wireName());
         sendError(code, 0);
     }
 
+    private void discard(Object message) {
+        if (message instanceof ByteBuf bytes) {
+            mDiscardedBytes += bytes.readableBytes();
+        }
+        ReferenceCountUtil.release(message);
+        if (mDiscardedBytes > MAX_DISCARDED_BYTES) {
+            mChannel.close();
+        }
+    }
+
+    private ChannelFutureListener closeListener() {
+        return mDiscarding
+                ? f -> ((DuplexChannel) mChannel).shutdownOutput()
+                : ChannelFutureListener.CLOSE;
+    }
+
     private void dropRequest() {
         mRequest = null;
         if (mBody != null) {
@@ -230,7 +267,7 @@
                                 body,
                                 headers,
                                 EmptyHttpHeaders.INSTANCE))
-                .addListener(close ? ChannelFutureListener.CLOSE : f -> {});
+                .addListener(close ? closeListener() : f -> {});
         onResponseEnd(close);
     }
 
