--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -49,11 +49,13 @@
      * Messages queued while a request is open; the connection of a caller that sends more is
      * closed.
      */
+    private static final int MAX_PIPELINED_MESSAGES = 64;
+
     /** Time for which the rest of a refused request is discarded. */
     private static final long DISCARD_MILLIS = 1_000;
 
+    /** Limit for what is discarded of a refused request. */
     private static final long MAX_DISCARDED_BYTES = 1024 * 1024;
-    private static final int MAX_PIPELINED_MESSAGES = 64;
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
