--- a/core/src/main/java/org/catkinproxy/serving/Prompt.java
+++ b/core/src/main/java/org/catkinproxy/serving/Prompt.java
@@ -29,6 +29,14 @@
         parts = List.copyOf(parts);
     }
 
+    /** Returns the ids of the parts that other prompts may share: all but the last. */
+    public long[] sharedPartIds() {
+        return parts.stream()
+                .limit(Math.max(0, parts.size() - 1))
+                .mapToLong(PromptPart::id)
+                .toArray();
+    }
+
     /** Returns the number of tokens in the parts that other prompts may share: all but the last. */
     public int sharedTokens() {
         int shared = 0;
--- a/gateway/src/main/java/org/catkinproxy/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RequestLog.java
@@ -4,9 +4,14 @@
 
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.RequestId;
+import org.catkinproxy.serving.Prompt;
 import org.catkinproxy.serving.SendFailure;
 import org.catkinproxy.serving.UpstreamChooser;
 
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
+
 /**
  * Writes the log lines of one request, each with the request's id and what decided the step.
  *
@@ -14,15 +19,24 @@
  */
 final class RequestLog {
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final String NO_PROMPT = "none";
 
     private final Gateway mGateway;
     private final RequestId mRequest;
     private final String mRoute;
+    private final Optional<Prompt> mPrompt;
 
     RequestLog(Gateway gateway, AdmittedRequest request) {
         mGateway = gateway;
         mRequest = request.head().id();
         mRoute = request.route().name();
+        mPrompt = request.head().prompt();
+    }
+
+    private static String sharedPartsInHex(Prompt prompt) {
+        return LongStream.of(prompt.sharedPartIds())
+                .mapToObj(Long::toHexString)
+                .collect(Collectors.joining(","));
     }
 
     void callerGone(int sends) {
@@ -67,7 +81,11 @@
                         "reason",
                         reason,
                         "after_ms",
-                        millis(now - attempt.startedAt()));
+                        millis(now - attempt.startedAt()),
+                        "begun",
+                        attempt.hasOutput(),
+                        "parts",
+                        mPrompt.map(RequestLog::sharedPartsInHex).orElse(NO_PROMPT));
     }
 
     void upstreamSuspect(InstanceId upstream, SendFailure failure) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -150,6 +150,11 @@
         return mStartedAt;
     }
 
+    /** Returns whether any output of a valid response has arrived. */
+    boolean hasOutput() {
+        return mFirstOutputAt != 0;
+    }
+
     long lastActivityAt() {
         return mLastActivityAt;
     }
