Quarantine prompt parts that crash engines, on the evidence of all instances

Cause: a broken connection was taken as the engine's fault alone. The request went on to a second engine and a backup, and crashed these; nothing was remembered of its prompt, neither here nor at the other instances, each of which sees only the crashes of its own connections. The class of fault: what one instance learns from a failure decides nothing at the others, and a retry is decided without looking at what the request did before.

Ruled out: the load of crashed engines on the others.

Fix: failures of attempts without proven output are joined over all instances. A combination of parts is quarantined after three failures, each of a request sent after the failure before, of two requests at three starts of engines, if no prompt with these parts has been proven sound since. Such prompts are refused as not run, open ones end before their engine begins them, and a request that follows an equal failure is not repeated. Heartbeats carry the state on to instances that have restarted or missed a datagram. Messages other than heartbeats now need the sender's own address too.

--- a/core/src/main/java/org/catkinproxy/error/ErrorCode.java
+++ b/core/src/main/java/org/catkinproxy/error/ErrorCode.java
@@ -44,6 +44,7 @@
     HEAD_TOO_LARGE(431, "the request head exceeds the size limit"),
     NO_ROUTE(404, "no route matches the host and path"),
     NO_UPSTREAM(503, "no upstream of the service currently accepts requests"),
+    PROMPT_QUARANTINED(503, "the prompt has parts that crash engines"),
     UPSTREAM_FAILED(502, "the response of the upstream was incomplete"),
     TIMED_OUT(504, "no response was received in time"),
     HISTORY_GONE(410, "the store no longer has the requested changes"),
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -3,6 +3,7 @@
 import org.catkinproxy.error.ErrorCode;
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.ServiceId;
+import org.catkinproxy.quarantine.Quarantine;
 import org.catkinproxy.serving.AdmissionPolicy;
 import org.catkinproxy.serving.CallKind;
 import org.catkinproxy.serving.EngineLimits;
@@ -177,7 +178,41 @@
         }
     }
 
+    private Optional<Quarantine> findQuarantine() {
+        return mRequest.head().prompt().flatMap(mGateway.promptGuard()::findQuarantine);
+    }
+
+    /** Ends the request if its prompt is quarantined and an engine may still crash on it. */
+    void endIfQuarantined() {
+        boolean maySendOrCrash =
+                mAttempt == null || !mAttempt.isSent() || mAttempt.isPromptSuspect();
+        if (!mDone && maySendOrCrash) {
+            findQuarantine().ifPresent(this::endQuarantined);
+        }
+    }
+
+    private void endQuarantined(Quarantine quarantine) {
+        boolean mayHaveRun = mPossibleRunCount > 0 || (mAttempt != null && mAttempt.isSent());
+        if (mStreaming) {
+            mConnection.abort();
+            finish("broken");
+        } else if (mayHaveRun) {
+            fail(ErrorCode.UPSTREAM_FAILED, "the prompt crashes engines");
+        } else {
+            long remainingNanos = quarantine.expiresAt() - mGateway.now();
+            refuse(
+                    ErrorCode.PROMPT_QUARANTINED,
+                    "the prompt crashes engines",
+                    Math.max(1, remainingNanos / NANOS_PER_MILLI));
+        }
+    }
+
     private void place() {
+        Optional<Quarantine> quarantine = findQuarantine();
+        if (quarantine.isPresent()) {
+            endQuarantined(quarantine.get());
+            return;
+        }
         long now = mGateway.now();
         Optional<UpstreamChooser.Choice> choice = choose(now);
         if (choice.isEmpty()) {
@@ -256,6 +291,10 @@
             finish("caller_gone");
             return;
         }
+        if (failure == SendFailure.BROKEN && !mayRepeatPrompt()) {
+            giveUp(ErrorCode.NO_UPSTREAM, reason);
+            return;
+        }
         Optional<UpstreamChooser.Choice> backup = chooseBackup(attempt, failure, now);
         if (backup.isPresent()) {
             mResumesFromBackup = true;
@@ -329,6 +368,14 @@
         }
     }
 
+    /** Returns whether another engine may get the prompt after one may have crashed on it. */
+    private boolean mayRepeatPrompt() {
+        return mRequest.head()
+                .prompt()
+                .map(p -> mGateway.promptGuard().mayRepeat(mRequest.head().id(), p))
+                .orElse(true);
+    }
+
     /** Returns the engine with a backup of a broken run's KV cache if the run may resume there. */
     private Optional<UpstreamChooser.Choice> chooseBackup(
             UpstreamAttempt attempt, SendFailure failure, long now) {
@@ -396,7 +443,11 @@
             case EXPIRED -> {
                 // The upstream is not the cause.
             }
-            case BROKEN, GARBLED, ERROR_ANSWER -> state.recordResponse(false, now);
+            case BROKEN -> {
+                state.recordResponse(false, now);
+                attempt.recordPromptFailure();
+            }
+            case GARBLED, ERROR_ANSWER -> state.recordResponse(false, now);
             default -> throw new AssertionError(failure);
         }
         if (!failure.isNotRun()) {
@@ -548,6 +599,7 @@
         }
         attempt.upstreamState().recordResponse(true, mGateway.now());
         attempt.recordGeneration(true);
+        attempt.recordPromptProven();
         mConnection.endStream();
         finish("answered");
     }
@@ -607,6 +659,9 @@
     private void forwardFullResponse(UpstreamAttempt attempt, int status) {
         attempt.recordFirstOutput();
         attempt.upstreamState().recordResponse(!isServerError(status), mGateway.now());
+        if (isSuccess(status)) {
+            attempt.recordPromptProven();
+        }
         if (!mCallerGone) {
             HttpResponse response = attempt.response();
             HttpHeaders headers = mGateway.headerCodec().writeResponse(response.headers());
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -78,6 +78,7 @@
     private final InstanceRegistry mInstanceRegistry;
     private final PeerMessenger mPeerMessenger;
     private final CacheTracker mCacheTracker;
+    private final PromptGuard mPromptGuard;
     private final RolloutBroadcast mRolloutBroadcast;
     private final RolloutTask mRolloutTask;
     private final StopSequence mStopSequence;
@@ -114,6 +115,7 @@
         mInstanceRegistry = new InstanceRegistry(this, store);
         mPeerMessenger = new PeerMessenger(this, settings.peerAddress());
         mCacheTracker = new CacheTracker(this, engineControl, settings.instance());
+        mPromptGuard = new PromptGuard(this, settings.instance());
         String session = Long.toHexString(mRandom.nextLong());
         mRolloutBroadcast = new RolloutBroadcast(this, settings.instance());
         mRolloutTask =
@@ -513,6 +515,15 @@
         return mCacheTracker;
     }
 
+    PromptGuard promptGuard() {
+        return mPromptGuard;
+    }
+
+    /** Ends the open requests whose prompts are now quarantined. */
+    void onPromptsQuarantined() {
+        List.copyOf(mExchanges).forEach(Exchange::endIfQuarantined);
+    }
+
     RolloutBroadcast rolloutBroadcast() {
         return mRolloutBroadcast;
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/GatewayMetrics.java
@@ -62,6 +62,11 @@
                             gateway,
                             g -> g.peerLoads().totalRequests())
                     .register(mRegistry);
+            Gauge.builder(
+                            "catkinproxy.gateway.quarantines",
+                            gateway,
+                            g -> g.promptGuard().quarantineCount())
+                    .register(mRegistry);
             counter(
                     "catkinproxy.gateway.log.dropped",
                     Tags.empty(),
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessage.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessage.java
@@ -5,6 +5,7 @@
 import com.google.common.net.HostAndPort;
 
 import org.catkinproxy.id.InstanceId;
+import org.catkinproxy.quarantine.QuarantineReport;
 import org.catkinproxy.serving.PeerLoads;
 import org.catkinproxy.serving.RolloutState;
 
@@ -79,4 +80,13 @@
             checkNotNull(state, "state");
         }
     }
+
+    /** What an instance knows of prompts that crash engines, whoever saw it. */
+    record QuarantineUpdate(InstanceId instance, QuarantineReport report) implements PeerMessage {
+        /** Checks that no component is null. */
+        public QuarantineUpdate {
+            checkNotNull(instance, "instance");
+            checkNotNull(report, "report");
+        }
+    }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessageCodec.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessageCodec.java
@@ -31,6 +31,7 @@
     private static final byte HEARTBEAT = 1;
     private static final byte CACHE_UPDATE = 2;
     private static final byte ROLLOUT_UPDATE = 3;
+    private static final byte QUARANTINE_UPDATE = 4;
 
     /** Limit for the length of a collection, so that a malformed length cannot exhaust memory. */
     private static final int MAX_ENTRIES = 1_000;
@@ -61,6 +62,9 @@
                 writeCacheUpdate(out, update);
             } else if (message instanceof PeerMessage.RolloutUpdate rollout) {
                 writeRollout(out, rollout.state());
+            } else if (message instanceof PeerMessage.QuarantineUpdate update) {
+                out.writeByte(QUARANTINE_UPDATE);
+                QuarantineReportCodec.write(out, update.report());
             }
             return Arrays.copyOf(bytes.getArray(), bytes.length());
         } catch (TException e) {
@@ -83,7 +87,7 @@
         writeMap(out, heartbeat.tableVersions(), TProtocol::writeString, TProtocol::writeI64);
     }
 
-    private static void writeId(TProtocol out, InstanceId id) throws TException {
+    static void writeId(TProtocol out, InstanceId id) throws TException {
         out.writeString(id.value());
     }
 
@@ -161,6 +165,8 @@
                             in.readBool(),
                             readMap(in, TProtocol::readI64, TProtocol::readI32));
             case ROLLOUT_UPDATE -> new PeerMessage.RolloutUpdate(instance, readRollout(in));
+            case QUARANTINE_UPDATE ->
+                    new PeerMessage.QuarantineUpdate(instance, QuarantineReportCodec.read(in));
             default -> throw new IllegalArgumentException("unknown kind of peer message: " + kind);
         };
     }
@@ -176,7 +182,7 @@
                 readMap(in, TProtocol::readString, TProtocol::readI64));
     }
 
-    private static InstanceId readId(TProtocol in) throws TException {
+    static InstanceId readId(TProtocol in) throws TException {
         return InstanceId.of(in.readString());
     }
 
@@ -208,7 +214,7 @@
         return map;
     }
 
-    private static int readSize(TProtocol in) throws TException {
+    static int readSize(TProtocol in) throws TException {
         int size = in.readI32();
         if (size < 0 || size > MAX_ENTRIES) {
             throw new IllegalArgumentException(
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
@@ -71,6 +71,7 @@
                 mGateway.instanceRegistry().heartbeat(loadByUpstream(), mGateway.tableVersions());
         send(heartbeat);
         send(heartbeat, mGateway.instanceRegistry().silentPeersToProbe());
+        mGateway.promptGuard().sendToSomePeers();
     }
 
     private Map<InstanceId, PeerLoads.Load> loadByUpstream() {
@@ -106,12 +107,15 @@
     private void handle(PeerMessage message, InetSocketAddress sender) {
         if (message instanceof PeerMessage.Heartbeat heartbeat) {
             handleHeartbeat(heartbeat, sender);
-        } else if (!mGateway.instanceRegistry().peerAddresses().containsKey(message.instance())) {
+        } else if (!sender.equals(
+                mGateway.instanceRegistry().peerAddresses().get(message.instance()))) {
             return;
         } else if (message instanceof PeerMessage.CacheUpdate update) {
             mGateway.cacheTracker().onPeerUpdate(update);
         } else if (message instanceof PeerMessage.RolloutUpdate rollout) {
             mGateway.rolloutBroadcast().onPeerState(rollout.state());
+        } else if (message instanceof PeerMessage.QuarantineUpdate update) {
+            mGateway.promptGuard().onPeerReport(update);
         }
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -1,5 +1,6 @@
 package org.catkinproxy.gateway;
 
+import org.catkinproxy.id.RequestId;
 import org.catkinproxy.serving.CallKind;
 import org.catkinproxy.serving.RetryPolicy;
 import org.catkinproxy.serving.SendFailure;
@@ -34,6 +35,9 @@
     /** Extension of the stall timeout of an attempt for which the budget allows no retry. */
     private static final long STALL_EXTENSION_NANOS = 300_000_000L;
 
+    /** Time of output after which an engine has survived the prompt. */
+    private static final long PROMPT_PROVEN_NANOS = 300_000_000L;
+
     /** Share of the latency target that a typical upstream needs for a full response. */
     private static final double TYPICAL_LATENCY_TARGET_SHARE = 0.25;
 
@@ -86,6 +90,7 @@
     /** When the first output arrived, 0 before that. */
     private long mFirstOutputAt;
 
+    private boolean mPromptProven;
     private boolean mGenerationRecorded;
     private boolean mClosed;
     private HttpResponse mResponse;
@@ -330,9 +335,39 @@
         }
         recordActivity();
         recordFirstOutput();
+        if (mLastActivityAt - mFirstOutputAt >= PROMPT_PROVEN_NANOS) {
+            recordPromptProven();
+        }
         mListener.onEvents(this, events);
     }
 
+    /** Records that the engine has survived the prompt. */
+    void recordPromptProven() {
+        if (!mPromptProven) {
+            mPromptProven = true;
+            mRequest.head().prompt().ifPresent(mGateway.promptGuard()::recordSuccess);
+        }
+    }
+
+    /** Returns whether the engine may still crash on the prompt. */
+    boolean isPromptSuspect() {
+        boolean hasRunOn = hasOutput() && mGateway.now() - mFirstOutputAt >= PROMPT_PROVEN_NANOS;
+        return mSent && !mPromptProven && !hasRunOn;
+    }
+
+    /** Records that the connection broke, which the prompt may have caused. */
+    void recordPromptFailure() {
+        if (isPromptSuspect()) {
+            RequestId id = mRequest.head().id();
+            mRequest.head()
+                    .prompt()
+                    .ifPresent(
+                            p ->
+                                    mGateway.promptGuard()
+                                            .recordFailure(upstream(), id, p, mStartedAt));
+        }
+    }
+
     /** Fails the attempt because all buffered responses together need too much memory. */
     void onBufferBudgetExceeded() {
         mListener.onAttemptFailed(
--- a/gateway/src/test/java/org/catkinproxy/gateway/PeerMessageCodecTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/PeerMessageCodecTest.java
@@ -8,8 +8,14 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
+import org.catkinproxy.id.Incarnation;
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.ModelId;
+import org.catkinproxy.id.RequestId;
+import org.catkinproxy.quarantine.EngineStart;
+import org.catkinproxy.quarantine.PromptFailure;
+import org.catkinproxy.quarantine.Quarantine;
+import org.catkinproxy.quarantine.QuarantineReport;
 import org.catkinproxy.serving.PeerLoads;
 import org.catkinproxy.serving.RolloutState;
 
@@ -39,7 +45,23 @@
                             SELF,
                             new RolloutState(
                                     Set.of(InstanceId.of("a"), InstanceId.of("b")),
-                                    Map.of(InstanceId.of("c"), Map.of(ModelId.of("m"), 4)))));
+                                    Map.of(InstanceId.of("c"), Map.of(ModelId.of("m"), 4)))),
+                    new PeerMessage.QuarantineUpdate(
+                            SELF,
+                            new QuarantineReport(
+                                    List.of(
+                                            new PromptFailure(
+                                                    new EngineStart(
+                                                            InstanceId.of("engine"),
+                                                            Incarnation.of("17")),
+                                                    RequestId.of("r1"),
+                                                    -900_000_000L,
+                                                    -5_000_000L,
+                                                    Set.of(1L, -7L))),
+                                    Map.of(Long.MIN_VALUE, -3_000_000L),
+                                    List.of(
+                                            new Quarantine(
+                                                    Set.of(2L), -1_000_000L, 60_000_000_000L)))));
 
     @Example
     void messagesSurviveEncodingAndDecoding() {
