Blame no sound part for crashes: join what instances know without comparing their clocks

Cause: each instance compared times of successes and failures that other clocks had taken, and decided before the others had reported what they saw of the same crash. Now what is known of a failure only shrinks, whoever reports it; a decision waits 50 ms for the other witnesses; a part must explain as many crashes as any other; a part that was sound before, or one of two equally suspect, needs five failures.

--- a/core/src/main/java/org/catkinproxy/quarantine/PromptFailure.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/PromptFailure.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.Sets;
+
 import org.catkinproxy.id.RequestId;
 
 import java.util.Set;
@@ -12,31 +14,56 @@
  *
  * <p>Immutable and thread-safe.
  *
- * @param engine the engine
- * @param request the request
+ * @param key what identifies the failure
  * @param sentAt when the attempt was sent, in ns
  * @param failedAt when the connection broke, in ns
- * @param parts the ids of the prompt's shared parts
+ * @param suspects the ids of the prompt's shared parts that have not been proven sound since
  */
-public record PromptFailure(
-        EngineStart engine, RequestId request, long sentAt, long failedAt, Set<Long> parts) {
+public record PromptFailure(Key key, long sentAt, long failedAt, Set<Long> suspects) {
     /** Validates the components. */
     public PromptFailure {
-        checkNotNull(engine, "engine");
-        checkNotNull(request, "request");
+        checkNotNull(key, "key");
         checkArgument(sentAt <= failedAt, "sentAt is after failedAt: %s, %s", sentAt, failedAt);
-        parts = Set.copyOf(parts);
+        suspects = Set.copyOf(suspects);
+    }
+
+    /**
+     * Identifies a failure at all instances.
+     *
+     * @param engine the engine
+     * @param request the request
+     */
+    public record Key(EngineStart engine, RequestId request) {
+        /** Checks that no component is null. */
+        public Key {
+            checkNotNull(engine, "engine");
+            checkNotNull(request, "request");
+        }
+    }
+
+    EngineStart engine() {
+        return key.engine();
     }
 
-    /** Identifies a failure, also after it was passed on by other instances. */
-    record Key(EngineStart engine, RequestId request) {}
+    RequestId request() {
+        return key.request();
+    }
+
+    /** Returns the failure without the suspects that {@code other} does not have. */
+    PromptFailure intersect(PromptFailure other) {
+        return withSuspects(Sets.intersection(suspects, other.suspects));
+    }
+
+    PromptFailure without(long provenPart) {
+        return withSuspects(Sets.difference(suspects, Set.of(provenPart)));
+    }
 
-    Key key() {
-        return new Key(engine, request);
+    private PromptFailure withSuspects(Set<Long> remaining) {
+        return new PromptFailure(key, sentAt, failedAt, remaining);
     }
 
     /** Returns the failure with {@code nanos} added to its times. */
     PromptFailure plusNanos(long nanos) {
-        return new PromptFailure(engine, request, sentAt + nanos, failedAt + nanos, parts);
+        return new PromptFailure(key, sentAt + nanos, failedAt + nanos, suspects);
     }
 }
--- a/core/src/main/java/org/catkinproxy/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/PromptQuarantine.java
@@ -1,8 +1,11 @@
 package org.catkinproxy.quarantine;
 
+import com.google.common.primitives.Longs;
+
 import org.catkinproxy.id.RequestId;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -22,24 +25,18 @@
  * failures to the others, which pass them on.
  *
  * <p>A part is suspect as long as no prompt with it has been proven sound since a failure. It is
- * quarantined after failures of several requests at several engines, each of which was sent after
- * the failure before it; failures at the same time have a common cause that is not the prompt, such
- * as the loss of a rack. The quarantine covers the combination of parts that all these failures
- * have in common and that are suspect. Prompts that have only some of them are served, which shows
- * which of them are sound. A failure beside one that a quarantine explains, at the same engine, is
- * explained as well.
+ * quarantined after failures of several requests at several engines. The quarantine covers the
+ * combination of parts that all these failures have in common and that are suspect. Prompts that
+ * have only some of them are served, which shows which of them are sound. A failure beside one that
+ * a quarantine explains, at the same engine, is explained as well.
  *
- * <p>Invariant: no quarantine's parts include all parts of another one. Not thread-safe.
+ * <p>What instances know of a failure or of a quarantine only shrinks once it is known, by the
+ * parts that are proven sound, so that reports may arrive in any order and any number of times. Not
+ * thread-safe.
  */
 public final class PromptQuarantine {
-    /** Failures, each sent after the one before, that a quarantine needs. */
-    static final int MIN_FAILURES = 3;
-
-    /** Requests among these failures: one request alone may be unlucky. */
-    static final int MIN_REQUESTS = 2;
-
-    /** Failures outside the quarantines that a further one needs beside those within. */
-    private static final int MIN_UNEXPLAINED_FAILURES = 2;
+    /** Time in which the other instances report what they saw of a crash. */
+    public static final long SETTLE_NANOS = 50_000_000L;
 
     /** Engines at which one request may fail. */
     private static final int MAX_FAILURES_PER_REQUEST = 2;
@@ -47,30 +44,26 @@
     private static final long FAILURE_LIFETIME_NANOS = 300_000_000_000L;
     private static final long QUARANTINE_NANOS = 600_000_000_000L;
 
-    /** Stands for the time of a success that never was. */
-    private static final long NEVER = Long.MIN_VALUE;
+    /** Time for which the other instances are told that all parts of a failure are sound. */
+    private static final long REPORT_CLEARED_NANOS = 20_000_000_000L;
 
     private static final int MAX_FAILURES = 256;
     private static final int MAX_QUARANTINES = 64;
-    private static final int MAX_SUCCESSES = 4_096;
+    private static final int MAX_PROVEN_PARTS = 4_096;
 
     /** Limits that keep a report within one datagram. */
     private static final int MAX_REPORTED_FAILURES = 32;
 
-    private static final int MAX_REPORTED_QUARANTINES = 32;
-    private static final int MAX_REPORTED_SUCCESSES = 64;
+    private static final int MAX_REPORTED_QUARANTINES = 16;
+    private static final int MAX_REPORTED_PROVEN_PARTS = 64;
 
     private final Map<PromptFailure.Key, PromptFailure> mFailures = new LinkedHashMap<>();
-    private final List<Quarantine> mQuarantines = new ArrayList<>();
-
-    /** When a prompt with a part was last proven to be sound, by the part's id. */
-    private final Map<Long, Long> mSuccesses =
-            new LinkedHashMap<>() {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
-                    return size() > MAX_SUCCESSES;
-                }
-            };
+    private final Map<Quarantine.Key, Quarantine> mQuarantines = new LinkedHashMap<>();
+
+    /** When this instance last saw a prompt with a part proven to be sound, by the part's id. */
+    private final Map<Long, Long> mProvenAt = boundedMap();
+
+    private boolean mUndecided;
 
     private PromptQuarantine() {}
 
@@ -79,85 +72,122 @@
         return new PromptQuarantine();
     }
 
-    /** Records that a prompt with {@code parts} did not crash its engine. */
-    public void recordSuccess(long[] parts, long now) {
-        for (long part : parts) {
-            recordSuccess(part, now);
-        }
+    private static Map<Long, Long> boundedMap() {
+        return new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+                return size() > MAX_PROVEN_PARTS;
+            }
+        };
     }
 
-    private void recordSuccess(long part, long at) {
-        Long earlier = mSuccesses.remove(part);
-        mSuccesses.put(part, earlier == null ? at : Math.max(earlier, at));
-        if (mQuarantines.stream().anyMatch(q -> q.parts().contains(part))) {
-            narrowQuarantines();
+    /**
+     * Records that a prompt with {@code parts} did not crash its engine.
+     *
+     * @return whether one of the parts was suspect until now
+     */
+    public boolean recordSuccess(long[] parts, long now) {
+        boolean wasSuspect = false;
+        for (long part : parts) {
+            mProvenAt.remove(part);
+            mProvenAt.put(part, now);
+            wasSuspect |= clear(part);
         }
+        return wasSuspect;
     }
 
-    /** Removes the parts that have been proven to be sound from the quarantines. */
-    private void narrowQuarantines() {
-        List<Quarantine> earlier = List.copyOf(mQuarantines);
-        mQuarantines.clear();
-        earlier.forEach(this::adopt);
+    /** Removes a part from all suspects, and returns whether it was one. */
+    private boolean clear(long part) {
+        boolean isFailureSuspect =
+                mFailures.values().stream().anyMatch(f -> f.suspects().contains(part));
+        if (isFailureSuspect) {
+            mFailures.replaceAll((k, f) -> f.without(part));
+        }
+        boolean isQuarantined =
+                mQuarantines.values().stream().anyMatch(q -> q.parts().contains(part));
+        if (isQuarantined) {
+            mQuarantines.replaceAll((k, q) -> q.without(part));
+        }
+        return isFailureSuspect || isQuarantined;
     }
 
-    /**
-     * Records a failure that this instance saw.
-     *
-     * @return the quarantines that begin with it
-     */
-    public List<Quarantine> recordFailure(PromptFailure failure, long now) {
+    /** Records a failure that this instance saw; {@link #decide} weighs it. */
+    public void recordFailure(PromptFailure failure, long now) {
         expire(now);
-        return add(failure) ? quarantineSuspects(failure.parts(), now) : List.of();
+        add(failure);
     }
 
     /**
-     * Adds what another instance reported.
+     * Adds what another instance reported; {@link #decide} weighs the failures.
      *
-     * @return the quarantines that begin with it
+     * @return the quarantines of the other instance that come into force here
      */
     public List<Quarantine> merge(QuarantineReport report, long now) {
         expire(now);
         QuarantineReport received = report.plusNanos(now);
-        received.successes().forEach((part, at) -> recordSuccess(part, Math.min(at, now)));
+        received.provenParts().forEach(p -> mProvenAt.putIfAbsent(p, Long.MIN_VALUE));
+        received.failures().stream()
+                .filter(f -> now - f.failedAt() < FAILURE_LIFETIME_NANOS)
+                .forEach(this::add);
         List<Quarantine> begun = new ArrayList<>();
         for (Quarantine quarantine : received.quarantines()) {
-            if (quarantine.expiresAt() - now > 0) {
-                adopt(quarantine).ifPresent(begun::add);
-            }
-        }
-        Set<Long> parts = new HashSet<>();
-        for (PromptFailure failure : received.failures()) {
-            if (now - failure.failedAt() < FAILURE_LIFETIME_NANOS && add(failure)) {
-                parts.addAll(failure.parts());
+            if (begin(quarantine, now)) {
+                begun.add(quarantine);
             }
         }
-        begun.addAll(quarantineSuspects(parts, now));
         return begun;
     }
 
-    private boolean add(PromptFailure failure) {
-        if (mFailures.putIfAbsent(failure.key(), failure) != null) {
-            return false;
+    private void add(PromptFailure failure) {
+        PromptFailure known = mFailures.get(failure.key());
+        if (known != null) {
+            mFailures.put(failure.key(), known.intersect(failure));
+            return;
         }
+        PromptFailure current = failure;
+        for (long part : failure.suspects()) {
+            if (mProvenAt.getOrDefault(part, Long.MIN_VALUE) > failure.failedAt()) {
+                current = current.without(part);
+            }
+        }
+        mFailures.put(failure.key(), current);
+        mUndecided = true;
         if (mFailures.size() > MAX_FAILURES) {
             mFailures.remove(leastUseful().key());
         }
-        return true;
     }
 
     /** Returns the oldest failure without suspect parts, or else the oldest one. */
     private PromptFailure leastUseful() {
         return mFailures.values().stream()
-                .filter(f -> suspects(f).isEmpty())
+                .filter(f -> f.suspects().isEmpty())
                 .findFirst()
                 .orElseGet(() -> mFailures.values().iterator().next());
     }
 
+    /** Adds a quarantine, and returns whether it comes into force and no other one includes it. */
+    private boolean begin(Quarantine quarantine, long now) {
+        Quarantine known = mQuarantines.get(quarantine.key());
+        if (known != null) {
+            mQuarantines.put(quarantine.key(), known.intersect(quarantine));
+            return false;
+        }
+        if (mQuarantines.size() >= MAX_QUARANTINES) {
+            mQuarantines.values().removeIf(q -> !q.isInForce(now));
+        }
+        if (mQuarantines.size() >= MAX_QUARANTINES || quarantine.expiresAt() - now <= 0) {
+            return false;
+        }
+        boolean isIncluded =
+                mQuarantines.values().stream().anyMatch(q -> q.covers(quarantine.parts(), now));
+        mQuarantines.put(quarantine.key(), quarantine);
+        return !isIncluded && quarantine.isInForce(now);
+    }
+
     /** Ends what is too old. */
     private void expire(long now) {
         mFailures.values().removeIf(f -> now - f.failedAt() >= FAILURE_LIFETIME_NANOS);
-        mQuarantines.removeIf(q -> q.expiresAt() - now <= 0);
+        mQuarantines.values().removeIf(q -> q.expiresAt() - now <= 0);
     }
 
     /** Returns the quarantine that covers a prompt with {@code parts}, empty if there is none. */
@@ -165,10 +195,13 @@
         if (mQuarantines.isEmpty()) {
             return Optional.empty();
         }
-        Set<Long> all = toSet(parts);
-        return mQuarantines.stream()
-                .filter(q -> q.expiresAt() - now > 0 && all.containsAll(q.parts()))
-                .findFirst();
+        Set<Long> all = Set.copyOf(Longs.asList(parts));
+        return mQuarantines.values().stream().filter(q -> q.covers(all, now)).findFirst();
+    }
+
+    /** Returns the number of quarantines in force. */
+    public int size(long now) {
+        return (int) mQuarantines.values().stream().filter(q -> q.isInForce(now)).count();
     }
 
     /**
@@ -179,11 +212,12 @@
         if (find(parts, now).isPresent()) {
             return false;
         }
+        Set<Long> all = Set.copyOf(Longs.asList(parts));
         List<PromptFailure> own =
                 mFailures.values().stream().filter(f -> f.request().equals(request)).toList();
         long ownEngines = own.stream().map(PromptFailure::engine).distinct().count();
         return ownEngines < MAX_FAILURES_PER_REQUEST
-                && own.stream().noneMatch(f -> followsAnotherRequest(f, toSet(parts)));
+                && own.stream().noneMatch(f -> followsAnotherRequest(f, all));
     }
 
     private boolean followsAnotherRequest(PromptFailure failure, Set<Long> parts) {
@@ -191,172 +225,135 @@
                 .filter(f -> !f.request().equals(failure.request()))
                 .filter(f -> !f.engine().equals(failure.engine()))
                 .filter(f -> failure.sentAt() - f.failedAt() >= 0)
-                .map(this::suspects)
+                .map(PromptFailure::suspects)
                 .anyMatch(s -> !s.isEmpty() && parts.containsAll(s));
     }
 
-    private static Set<Long> toSet(long[] parts) {
-        Set<Long> all = new HashSet<>();
-        for (long part : parts) {
-            all.add(part);
-        }
-        return all;
+    /** Returns whether there are failures that {@link #decide} has not weighed. */
+    public boolean isUndecided() {
+        return mUndecided;
     }
 
-    /** Returns what the other instances should know; the times are relative to {@code now}. */
-    public QuarantineReport report(long now) {
+    /**
+     * Quarantines the parts for which there is enough evidence. Must be called {@link
+     * #SETTLE_NANOS} after a new failure, when the other instances have reported what they saw of
+     * the same crash.
+     *
+     * @return the quarantines that begin
+     */
+    public List<Quarantine> decide(long now) {
         expire(now);
-        Set<EngineStart> explained = explainedEngines();
-        Map<Long, Integer> failuresByPart = new HashMap<>();
-        Set<Long> mentioned = new HashSet<>();
-        for (PromptFailure failure : mFailures.values()) {
-            mentioned.addAll(failure.parts());
-            suspects(failure).forEach(p -> failuresByPart.merge(p, 1, Integer::sum));
-        }
-        mQuarantines.forEach(q -> mentioned.addAll(q.parts()));
-        List<PromptFailure> failures =
-                mFailures.values().stream()
-                        .filter(f -> !explained.contains(f.engine()) && !suspects(f).isEmpty())
-                        .sorted(
-                                Comparator.comparingInt(
-                                                (PromptFailure f) ->
-                                                        -mostFailures(f, failuresByPart))
-                                        .thenComparingLong(f -> now - f.failedAt()))
-                        .limit(MAX_REPORTED_FAILURES)
-                        .toList();
-        return new QuarantineReport(
-                        failures,
-                        latestSuccesses(mentioned, now),
-                        mQuarantines.stream().limit(MAX_REPORTED_QUARANTINES).toList())
-                .plusNanos(-now);
-    }
-
-    private int mostFailures(PromptFailure failure, Map<Long, Integer> failuresByPart) {
-        return suspects(failure).stream().mapToInt(failuresByPart::get).max().orElse(0);
-    }
-
-    private Map<Long, Long> latestSuccesses(Set<Long> parts, long now) {
-        return parts.stream()
-                .filter(mSuccesses::containsKey)
-                .sorted(Comparator.comparingLong(p -> now - mSuccesses.get(p)))
-                .limit(MAX_REPORTED_SUCCESSES)
-                .collect(Collectors.toMap(p -> p, mSuccesses::get));
-    }
-
-    /** Returns the number of quarantines in force. */
-    public int size() {
-        return mQuarantines.size();
-    }
-
-    private boolean isProvenSince(long part, long at) {
-        Long success = mSuccesses.get(part);
-        return success != null && success - at > 0;
-    }
-
-    /** Returns the parts of the failed prompt that have not been proven sound since. */
-    private Set<Long> suspects(PromptFailure failure) {
-        return unproven(failure.parts(), failure.failedAt());
-    }
-
-    private Set<Long> unproven(Set<Long> parts, long since) {
-        return parts.stream().filter(p -> !isProvenSince(p, since)).collect(Collectors.toSet());
-    }
-
-    /** Quarantines the suspects among {@code parts} for which there is enough evidence. */
-    private List<Quarantine> quarantineSuspects(Set<Long> parts, long now) {
+        mUndecided = false;
         List<Quarantine> begun = new ArrayList<>();
-        Set<Long> remaining = new HashSet<>(parts);
-        Optional<Long> suspect = mostSuspect(remaining);
-        while (suspect.isPresent() && mQuarantines.size() < MAX_QUARANTINES) {
-            adopt(quarantine(suspect.get(), now)).ifPresent(begun::add);
-            remaining.remove(suspect.get());
-            suspect = mostSuspect(remaining);
+        Optional<Suspect> culprit = findCulprit(now);
+        while (culprit.isPresent()) {
+            Quarantine quarantine = quarantine(culprit.get(), now);
+            boolean isNew = begin(quarantine, now);
+            if (isNew) {
+                begun.add(quarantine);
+            }
+            culprit = isNew ? findCulprit(now) : Optional.empty();
         }
         return begun;
     }
 
     /**
-     * Returns the part with enough evidence that was proven sound least recently, or never, and of
-     * those the one with the most failures.
+     * Returns the likeliest culprit, empty if the evidence does not suffice. The culprit explains
+     * most crashes, or one less: failures of sound prompts are spread over more parts.
      */
-    private Optional<Long> mostSuspect(Set<Long> parts) {
-        Set<EngineStart> explained = explainedEngines();
-        return parts.stream()
-                .filter(p -> hasEnoughEvidence(p, explained))
-                .min(
-                        Comparator.comparingLong((Long p) -> mSuccesses.getOrDefault(p, NEVER))
-                                .thenComparingInt(p -> -failuresOf(p).size()));
-    }
-
-    private boolean hasEnoughEvidence(long part, Set<EngineStart> explained) {
-        List<PromptFailure> all = failuresOf(part);
-        if (all.size() < MIN_FAILURES) {
-            return false;
-        }
-        List<PromptFailure> unexplained =
-                all.stream().filter(f -> !explained.contains(f.engine())).toList();
-        return isEnough(all, MIN_FAILURES) && isEnough(unexplained, MIN_UNEXPLAINED_FAILURES);
-    }
-
-    private static boolean isEnough(List<PromptFailure> failures, int minFailures) {
-        long requests = failures.stream().map(PromptFailure::request).distinct().count();
-        return requests >= MIN_REQUESTS && successiveFailures(failures) >= minFailures;
+    private Optional<Suspect> findCulprit(long now) {
+        Collection<Suspect> suspects = suspects(now);
+        int mostCrashes =
+                suspects.stream().mapToInt(Suspect::unexplainedCrashCount).max().orElse(0);
+        List<Suspect> likeliest =
+                suspects.stream()
+                        .filter(s -> s.unexplainedCrashCount() >= mostCrashes - 1)
+                        .sorted(Suspect.LIKELIEST_FIRST)
+                        .toList();
+        return likeliest.stream()
+                .findFirst()
+                .filter(Suspect::hasEnoughEvidence)
+                .filter(s -> likeliest.stream().noneMatch(s::isRivalledBy));
     }
 
-    /** Returns how many failures at different engines were each sent after the one before. */
-    private static int successiveFailures(List<PromptFailure> failures) {
-        List<PromptFailure> inOrder =
-                failures.stream().sorted(Comparator.comparing(PromptFailure::failedAt)).toList();
-        Set<EngineStart> engines = new HashSet<>();
-        PromptFailure last = null;
-        for (PromptFailure failure : inOrder) {
-            boolean isSuccessive = last == null || failure.sentAt() - last.failedAt() >= 0;
-            if (isSuccessive && engines.add(failure.engine())) {
-                last = failure;
+    private Collection<Suspect> suspects(long now) {
+        Set<EngineStart> explained = explainedEngines(now);
+        Map<Long, Suspect> suspects = new HashMap<>();
+        for (PromptFailure failure : mFailures.values()) {
+            for (long part : failure.suspects()) {
+                Suspect suspect =
+                        suspects.computeIfAbsent(
+                                part, p -> Suspect.of(p, mProvenAt.containsKey(p)));
+                suspect.failures().add(failure);
+                if (!explained.contains(failure.engine())) {
+                    suspect.unexplained().add(failure);
+                }
             }
         }
-        return engines.size();
-    }
-
-    private List<PromptFailure> failuresOf(long part) {
-        return mFailures.values().stream().filter(f -> suspects(f).contains(part)).toList();
+        return suspects.values();
     }
 
     /** Returns the engines at which a prompt failed that a quarantine covers. */
-    private Set<EngineStart> explainedEngines() {
-        if (mQuarantines.isEmpty()) {
-            return Set.of();
-        }
+    private Set<EngineStart> explainedEngines(long now) {
         return mFailures.values().stream()
-                .filter(f -> mQuarantines.stream().anyMatch(q -> f.parts().containsAll(q.parts())))
+                .filter(
+                        f ->
+                                mQuarantines.values().stream()
+                                        .anyMatch(q -> q.covers(f.suspects(), now)))
                 .map(PromptFailure::engine)
                 .collect(Collectors.toSet());
     }
 
-    /** Returns the quarantine of the suspects that all failures of {@code part} have in common. */
-    private Quarantine quarantine(long part, long now) {
-        List<PromptFailure> failures = failuresOf(part);
-        Set<Long> common = new HashSet<>(suspects(failures.get(0)));
-        failures.forEach(f -> common.retainAll(suspects(f)));
-        long failedAt = failures.stream().mapToLong(PromptFailure::failedAt).max().orElse(now);
-        return new Quarantine(common, failedAt, now + QUARANTINE_NANOS);
+    /** Returns the quarantine of the suspects that all failures of the culprit share. */
+    private static Quarantine quarantine(Suspect culprit, long now) {
+        Set<Long> common = new HashSet<>(culprit.failures().get(0).suspects());
+        culprit.failures().forEach(f -> common.retainAll(f.suspects()));
+        PromptFailure newest =
+                culprit.failures().stream()
+                        .max(Comparator.comparingLong(PromptFailure::failedAt))
+                        .orElseThrow();
+        return new Quarantine(
+                new Quarantine.Key(newest.key(), common), common, now + QUARANTINE_NANOS);
+    }
+
+    /** Returns what the other instances should know; the times are relative to {@code now}. */
+    public QuarantineReport report(long now) {
+        expire(now);
+        List<PromptFailure> failures = reportedFailures(now);
+        Set<Long> proven =
+                failures.stream()
+                        .flatMap(f -> f.suspects().stream())
+                        .filter(mProvenAt::containsKey)
+                        .limit(MAX_REPORTED_PROVEN_PARTS)
+                        .collect(Collectors.toSet());
+        List<Quarantine> quarantines =
+                mQuarantines.values().stream().limit(MAX_REPORTED_QUARANTINES).toList();
+        return new QuarantineReport(failures, proven, quarantines).plusNanos(-now);
     }
 
     /**
-     * Puts a quarantine in force for those of its parts that have not been proven sound since, and
-     * ends those that it includes.
-     *
-     * @return the quarantine, empty if it has no such parts or another one includes it
+     * Returns the unexplained failures, those first that have a suspect in common with most others,
+     * and of these the newest first.
      */
-    private Optional<Quarantine> adopt(Quarantine quarantine) {
-        Set<Long> parts = unproven(quarantine.parts(), quarantine.failedAt());
-        boolean isIncluded = mQuarantines.stream().anyMatch(q -> parts.containsAll(q.parts()));
-        if (parts.isEmpty() || isIncluded) {
-            return Optional.empty();
-        }
-        mQuarantines.removeIf(q -> q.parts().containsAll(parts));
-        Quarantine adopted = quarantine.withParts(parts);
-        mQuarantines.add(adopted);
-        return Optional.of(adopted);
+    private List<PromptFailure> reportedFailures(long now) {
+        Set<EngineStart> explained = explainedEngines(now);
+        Map<Long, Integer> failuresByPart = new HashMap<>();
+        mFailures
+                .values()
+                .forEach(f -> f.suspects().forEach(p -> failuresByPart.merge(p, 1, Integer::sum)));
+        return mFailures.values().stream()
+                .filter(f -> !explained.contains(f.engine()))
+                .filter(f -> !f.suspects().isEmpty() || now - f.failedAt() < REPORT_CLEARED_NANOS)
+                .sorted(
+                        Comparator.comparingInt(
+                                        (PromptFailure f) -> mostFailures(f, failuresByPart))
+                                .reversed()
+                                .thenComparingLong(f -> now - f.failedAt()))
+                .limit(MAX_REPORTED_FAILURES)
+                .toList();
+    }
+
+    private static int mostFailures(PromptFailure failure, Map<Long, Integer> failuresByPart) {
+        return failure.suspects().stream().mapToInt(failuresByPart::get).max().orElse(0);
     }
 }
--- a/core/src/main/java/org/catkinproxy/quarantine/QuarantineReport.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/QuarantineReport.java
@@ -1,8 +1,7 @@
 package org.catkinproxy.quarantine;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 
 /**
  * What one instance knows of prompts that crash engines, for the other instances.
@@ -10,32 +9,29 @@
  * <p>All times are relative to the moment at which the report was made, so that instances need no
  * common clock. Immutable and thread-safe.
  *
- * @param failures failures that no quarantine explains
- * @param successes when a prompt with a part was last proven to be sound, by the part's id; only
- *     parts of failures and quarantines are listed
- * @param quarantines the quarantines in force
+ * @param failures failures that no quarantine explains, and those whose suspects are all proven
+ * @param provenParts the parts of these failures that have ever been proven to be sound
+ * @param quarantines the quarantines, including lifted ones
  */
 public record QuarantineReport(
-        List<PromptFailure> failures, Map<Long, Long> successes, List<Quarantine> quarantines) {
+        List<PromptFailure> failures, Set<Long> provenParts, List<Quarantine> quarantines) {
     /** Copies the components. */
     public QuarantineReport {
         failures = List.copyOf(failures);
-        successes = Map.copyOf(successes);
+        provenParts = Set.copyOf(provenParts);
         quarantines = List.copyOf(quarantines);
     }
 
     /** Returns whether the report says nothing. */
     public boolean isEmpty() {
-        return failures.isEmpty() && successes.isEmpty() && quarantines.isEmpty();
+        return failures.isEmpty() && quarantines.isEmpty();
     }
 
     /** Returns the report with {@code nanos} added to its times. */
     QuarantineReport plusNanos(long nanos) {
-        Map<Long, Long> shifted = new HashMap<>();
-        successes.forEach((part, at) -> shifted.put(part, at + nanos));
         return new QuarantineReport(
                 failures.stream().map(f -> f.plusNanos(nanos)).toList(),
-                shifted,
+                provenParts,
                 quarantines.stream().map(q -> q.plusNanos(nanos)).toList());
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/quarantine/Suspect.java
@@ -0,0 +1,105 @@
+package org.catkinproxy.quarantine;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * A prompt part that may have crashed engines, and the evidence for it.
+ *
+ * <p>Immutable, provided that the lists are not modified.
+ *
+ * @param part the part's id
+ * @param wasProven whether a prompt with the part was proven sound before the failures
+ * @param failures the failures of prompts with the part since then
+ * @param unexplained those of them at engines where no prompt failed that a quarantine covers
+ */
+record Suspect(
+        long part,
+        boolean wasProven,
+        List<PromptFailure> failures,
+        List<PromptFailure> unexplained) {
+    /** Failures, each sent after the one before, that are needed. */
+    private static final int MIN_FAILURES = 3;
+
+    /** Failures that are needed if the part was sound before or another one is as suspect. */
+    private static final int MIN_FAILURES_IF_DOUBTFUL = 5;
+
+    /** Failures among them that no quarantine explains. */
+    private static final int MIN_UNEXPLAINED_FAILURES = 2;
+
+    /** Requests among the failures: one request alone may be unlucky. */
+    private static final int MIN_REQUESTS = 2;
+
+    /**
+     * Orders suspects, the likeliest culprit first: a part that was never proven sound, and of
+     * several the one that explains most crashes with few requests. Many requests with a common
+     * part fail beside the culprit in each crash.
+     */
+    static final Comparator<Suspect> LIKELIEST_FIRST =
+            Comparator.comparing(Suspect::wasProven)
+                    .thenComparingInt(s -> requestCount(s.failures) - 2 * crashCount(s.failures));
+
+    static Suspect of(long part, boolean wasProven) {
+        return new Suspect(part, wasProven, new ArrayList<>(), new ArrayList<>());
+    }
+
+    /** Returns the number of engines that crashed and are not explained. */
+    int unexplainedCrashCount() {
+        return crashCount(unexplained);
+    }
+
+    /** Returns whether the failures cannot be a coincidence. */
+    boolean hasEnoughEvidence() {
+        return requestCount(failures) >= MIN_REQUESTS
+                && requestCount(unexplained) >= MIN_REQUESTS
+                && successiveCount(failures)
+                        >= (wasProven ? MIN_FAILURES_IF_DOUBTFUL : MIN_FAILURES)
+                && successiveCount(unexplained) >= MIN_UNEXPLAINED_FAILURES;
+    }
+
+    /**
+     * Returns whether {@code other} is as likely, and the evidence does not yet suffice for both.
+     */
+    boolean isRivalledBy(Suspect other) {
+        return LIKELIEST_FIRST.compare(this, other) == 0
+                && !other.failures.containsAll(failures)
+                && successiveCount(failures) < MIN_FAILURES_IF_DOUBTFUL;
+    }
+
+    private static int crashCount(List<PromptFailure> failures) {
+        return (int) failures.stream().map(PromptFailure::engine).distinct().count();
+    }
+
+    private static int requestCount(List<PromptFailure> failures) {
+        return (int) failures.stream().map(PromptFailure::request).distinct().count();
+    }
+
+    /**
+     * Returns how many failures at different engines were each sent after the one before. Failures
+     * at the same time have a common cause that is not the prompt, such as the loss of a rack.
+     */
+    private static int successiveCount(List<PromptFailure> failures) {
+        List<PromptFailure> inOrder =
+                failures.stream()
+                        .sorted(Comparator.comparingLong(PromptFailure::failedAt))
+                        .toList();
+        Set<EngineStart> engines = new HashSet<>();
+        PromptFailure last = null;
+        for (PromptFailure failure : inOrder) {
+            if (isSuccessor(failure, last) && engines.add(failure.engine())) {
+                last = failure;
+            }
+        }
+        return engines.size();
+    }
+
+    /** A request is at one engine at a time, whatever the clocks of different instances say. */
+    private static boolean isSuccessor(PromptFailure failure, PromptFailure last) {
+        return last == null
+                || failure.request().equals(last.request())
+                || failure.sentAt() - last.failedAt() >= 0;
+    }
+}
--- a/core/src/test/java/org/catkinproxy/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/catkinproxy/quarantine/PromptQuarantineTest.java
@@ -28,9 +28,9 @@
 
     private static PromptFailure failure(
             String engine, String request, long sentMillis, long failedMillis, long... parts) {
+        EngineStart start = new EngineStart(InstanceId.of(engine), Incarnation.of("1"));
         return new PromptFailure(
-                new EngineStart(InstanceId.of(engine), Incarnation.of("1")),
-                RequestId.of(request),
+                new PromptFailure.Key(start, RequestId.of(request)),
                 sentMillis * MILLI,
                 failedMillis * MILLI,
                 Arrays.stream(parts).boxed().collect(Collectors.toSet()));
@@ -38,8 +38,9 @@
 
     private List<Quarantine> fail(
             String engine, String request, long sentMillis, long failedMillis, long... parts) {
-        return mQuarantine.recordFailure(
+        mQuarantine.recordFailure(
                 failure(engine, request, sentMillis, failedMillis, parts), failedMillis * MILLI);
+        return mQuarantine.decide(failedMillis * MILLI);
     }
 
     private void succeed(long atMillis, long... parts) {
@@ -147,6 +148,22 @@
         assertThat(mQuarantine.mayRepeat(RequestId.of("s1"), parts, 200 * MILLI)).isTrue();
     }
 
+    /** The load pattern is a busy fleet: engines crash faster than a common part is proven. */
+    @Example
+    void partOfFewerRequestsIsBlamedBeforeCommonOnes() {
+        for (int i = 0; i < 4; i++) {
+            String engine = "e" + i;
+            for (int j = 0; j < 3; j++) {
+                PromptFailure beside = failure(engine, "s" + i + j, i * 100, i * 100 + 90, COMMON);
+                mQuarantine.recordFailure(beside, (i * 100 + 90) * MILLI);
+            }
+            fail(engine, "r" + i, i * 100, i * 100 + 90, COMMON, 20 + i, CRASHING);
+        }
+        assertThat(isQuarantined(400, COMMON, CRASHING)).isTrue();
+        assertThat(isQuarantined(400, COMMON, 20)).isFalse();
+        assertThat(isQuarantined(400, COMMON)).isFalse();
+    }
+
     /** The part beside the crashing one fails at the same engines, and is blamed for none. */
     @Example
     void failureBesideAnExplainedOneIsNotEvidence() {
@@ -166,10 +183,8 @@
         peer.recordFailure(failure("e2", "r2", 5_150, 5_200, COMMON, CRASHING), 5_200 * MILLI);
         // The clocks of the two differ by five seconds.
         peer.merge(mQuarantine.report(120 * MILLI), 5_120 * MILLI);
-        List<Quarantine> begun =
-                peer.recordFailure(
-                        failure("e3", "r3", 5_250, 5_300, COMMON, CRASHING), 5_300 * MILLI);
-        assertThat(begun).hasSize(1);
+        peer.recordFailure(failure("e3", "r3", 5_250, 5_300, COMMON, CRASHING), 5_300 * MILLI);
+        assertThat(peer.decide(5_305 * MILLI)).hasSize(1);
 
         assertThat(mQuarantine.merge(peer.report(5_310 * MILLI), 310 * MILLI)).hasSize(1);
         assertThat(isQuarantined(310, COMMON, CRASHING)).isTrue();
@@ -191,11 +206,38 @@
             fail("e" + i, "r" + i, i * 100, i * 100 + 90, RARE, CRASHING);
         }
         PromptQuarantine peer = PromptQuarantine.create();
-        peer.merge(mQuarantine.report(300 * MILLI), 300 * MILLI);
+        QuarantineReport older = mQuarantine.report(300 * MILLI);
+        peer.merge(older, 300 * MILLI);
         peer.recordSuccess(new long[] {RARE}, 400 * MILLI);
         mQuarantine.merge(peer.report(410 * MILLI), 410 * MILLI);
         assertThat(mQuarantine.report(410 * MILLI).quarantines().get(0).parts())
                 .isEqualTo(Set.of(CRASHING));
+        // An older report does not bring the part back.
+        mQuarantine.merge(older, 420 * MILLI);
+        assertThat(mQuarantine.report(420 * MILLI).quarantines().get(0).parts())
+                .isEqualTo(Set.of(CRASHING));
+    }
+
+    /** A part that was sound before is blamed only after more failures. */
+    @Example
+    void partThatWasSoundNeedsMoreFailures() {
+        succeed(0, RARE);
+        for (int i = 1; i <= 4; i++) {
+            assertThat(fail("e" + i, "r" + i, i * 100, i * 100 + 90, RARE)).isEmpty();
+        }
+        assertThat(fail("e5", "r5", 500, 590, RARE)).hasSize(1);
+    }
+
+    /** Of two parts that fail equally often the guilty one cannot be told yet. */
+    @Example
+    void partsThatAreEquallySuspectNeedMoreFailures() {
+        fail("e1", "r1", 0, 100, CRASHING);
+        fail("e1", "s1", 0, 100, RARE);
+        fail("e2", "r1", 110, 200, CRASHING);
+        fail("e2", "s1", 110, 200, RARE);
+        assertThat(fail("e3", "r2", 300, 400, RARE, CRASHING)).isEmpty();
+        assertThat(fail("e4", "r3", 500, 600, CRASHING)).hasSize(1);
+        assertThat(isQuarantined(600, RARE)).isFalse();
     }
 
     @Example
--- a/gateway/src/main/java/org/catkinproxy/gateway/PromptGuard.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PromptGuard.java
@@ -1,5 +1,7 @@
 package org.catkinproxy.gateway;
 
+import com.google.common.primitives.Longs;
+
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.RequestId;
 import org.catkinproxy.quarantine.EngineStart;
@@ -20,33 +22,37 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-import java.util.stream.LongStream;
 
 /**
  * Keeps prompts that crash engines from further engines, together with the other instances.
  *
- * <p>What this instance sees of a crash goes to all other instances at once. With each heartbeat a
- * few of them get all that this instance knows, so that instances that have just started, or that a
- * datagram did not reach, learn it as well. Used by the event loop only.
+ * <p>What this instance sees of a crash, and that a suspect part is sound, goes to all other
+ * instances at once. At intervals a few of them get all that this instance knows, so that instances
+ * that have just started, or that a datagram did not reach, learn it as well. Used by the event
+ * loop only.
  */
 final class PromptGuard {
     /** Delay in which the failures of all attempts at a crashed engine are seen. */
     private static final long PUBLISH_DELAY_MILLIS = 5;
 
-    /** Number of instances that get a report with each heartbeat. */
-    private static final int PEERS_PER_HEARTBEAT = 4;
+    /** Minimum time between two reports that repeat what is known. */
+    private static final long REPORT_INTERVAL_NANOS = 1_000_000_000L;
 
-    private static final long NANOS_PER_MILLI = 1_000_000L;
+    /** Number of instances that get each of these reports. */
+    private static final int PEERS_PER_REPORT = 4;
 
     private final Gateway mGateway;
     private final InstanceId mSelf;
     private final PromptQuarantine mQuarantine = PromptQuarantine.create();
     private final Random mRandom = new Random();
-    private boolean mPublishScheduled;
+    private boolean mPublicationScheduled;
+    private boolean mDecisionScheduled;
+    private long mReportedAt;
 
     PromptGuard(Gateway gateway, InstanceId self) {
         mGateway = gateway;
         mSelf = self;
+        mReportedAt = gateway.now();
     }
 
     /** Returns the quarantine that covers {@code prompt}, empty if there is none. */
@@ -59,39 +65,68 @@
         return mQuarantine.mayRepeat(request, prompt.sharedPartIds(), mGateway.now());
     }
 
+    /** Returns the number of quarantines in force. */
+    int quarantineCount() {
+        return mQuarantine.size(mGateway.now());
+    }
+
     /** Records that an engine has generated output for {@code prompt} and goes on running. */
     void recordSuccess(Prompt prompt) {
-        mQuarantine.recordSuccess(prompt.sharedPartIds(), mGateway.now());
+        if (mQuarantine.recordSuccess(prompt.sharedPartIds(), mGateway.now())) {
+            schedulePublication();
+        }
     }
 
     /** Records that an engine's connection broke before it was known to survive {@code prompt}. */
     void recordFailure(Upstream engine, RequestId request, Prompt prompt, long sentAt) {
         long now = mGateway.now();
-        Set<Long> parts = LongStream.of(prompt.sharedPartIds()).boxed().collect(Collectors.toSet());
-        PromptFailure failure =
-                new PromptFailure(EngineStart.of(engine), request, sentAt, now, parts);
-        begin(mQuarantine.recordFailure(failure, now), mSelf);
+        PromptFailure.Key key = new PromptFailure.Key(EngineStart.of(engine), request);
+        Set<Long> parts = Set.copyOf(Longs.asList(prompt.sharedPartIds()));
+        mQuarantine.recordFailure(new PromptFailure(key, sentAt, now, parts), now);
+        scheduleDecision();
         schedulePublication();
     }
 
+    private void scheduleDecision() {
+        if (mQuarantine.isUndecided() && !mDecisionScheduled) {
+            mDecisionScheduled = true;
+            long lag = mGateway.loopDelay().turnNanos(mGateway.now());
+            mGateway.loop()
+                    .schedule(
+                            this::decide,
+                            PromptQuarantine.SETTLE_NANOS + lag,
+                            TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void decide() {
+        mDecisionScheduled = false;
+        begin(mQuarantine.decide(mGateway.now()), mSelf);
+    }
+
     private void schedulePublication() {
-        if (!mPublishScheduled) {
-            mPublishScheduled = true;
+        if (!mPublicationScheduled) {
+            mPublicationScheduled = true;
             mGateway.loop().schedule(this::publish, PUBLISH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
     private void publish() {
-        mPublishScheduled = false;
+        mPublicationScheduled = false;
         send(mGateway.instanceRegistry().peerAddresses().values());
     }
 
-    /** Sends a report to a few other instances, chosen at random. */
+    /** Sends a report to a few other instances, chosen at random, once per report interval. */
     void sendToSomePeers() {
+        long now = mGateway.now();
+        if (now - mReportedAt < REPORT_INTERVAL_NANOS) {
+            return;
+        }
+        mReportedAt = now;
         List<InetSocketAddress> peers =
                 new ArrayList<>(mGateway.instanceRegistry().peerAddresses().values());
         Collections.shuffle(peers, mRandom);
-        send(peers.subList(0, Math.min(PEERS_PER_HEARTBEAT, peers.size())));
+        send(peers.subList(0, Math.min(PEERS_PER_REPORT, peers.size())));
     }
 
     private void send(Collection<InetSocketAddress> peers) {
@@ -104,6 +139,7 @@
     /** Handles a report of another instance. */
     void onPeerReport(PeerMessage.QuarantineUpdate update) {
         begin(mQuarantine.merge(update.report(), mGateway.now()), update.instance());
+        scheduleDecision();
     }
 
     private void begin(List<Quarantine> quarantines, InstanceId reporter) {
@@ -115,8 +151,10 @@
                             hex(quarantine),
                             "reporter",
                             reporter,
-                            "failure_age_ms",
-                            (mGateway.now() - quarantine.failedAt()) / NANOS_PER_MILLI);
+                            "newest_failure",
+                            quarantine.key().newestFailure().request(),
+                            "engine",
+                            quarantine.key().newestFailure().engine().engine());
         }
         if (!quarantines.isEmpty()) {
             mGateway.onPromptsQuarantined();
@@ -126,9 +164,4 @@
     private static String hex(Quarantine quarantine) {
         return quarantine.parts().stream().map(Long::toHexString).collect(Collectors.joining(","));
     }
-
-    /** Returns the number of quarantines in force. */
-    int quarantineCount() {
-        return mQuarantine.size();
-    }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/QuarantineReportCodec.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/QuarantineReportCodec.java
@@ -10,10 +10,8 @@
 import org.catkinproxy.quarantine.QuarantineReport;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
 /**
@@ -29,28 +27,25 @@
     static void write(TProtocol out, QuarantineReport report) throws TException {
         out.writeI32(report.failures().size());
         for (PromptFailure failure : report.failures()) {
-            write(out, failure);
-        }
-        out.writeI32(report.successes().size());
-        for (Map.Entry<Long, Long> success : report.successes().entrySet()) {
-            out.writeI64(success.getKey());
-            writeTime(out, success.getValue());
+            writeKey(out, failure.key());
+            writeTime(out, failure.sentAt());
+            writeTime(out, failure.failedAt());
+            writeParts(out, failure.suspects());
         }
+        writeParts(out, report.provenParts());
         out.writeI32(report.quarantines().size());
         for (Quarantine quarantine : report.quarantines()) {
+            writeKey(out, quarantine.key().newestFailure());
+            writeParts(out, quarantine.key().initialParts());
             writeParts(out, quarantine.parts());
-            writeTime(out, quarantine.failedAt());
             writeTime(out, quarantine.expiresAt());
         }
     }
 
-    private static void write(TProtocol out, PromptFailure failure) throws TException {
-        PeerMessageCodec.writeId(out, failure.engine().engine());
-        out.writeString(failure.engine().incarnation().value());
-        out.writeString(failure.request().value());
-        writeTime(out, failure.sentAt());
-        writeTime(out, failure.failedAt());
-        writeParts(out, failure.parts());
+    private static void writeKey(TProtocol out, PromptFailure.Key key) throws TException {
+        PeerMessageCodec.writeId(out, key.engine().engine());
+        out.writeString(key.engine().incarnation().value());
+        out.writeString(key.request().value());
     }
 
     private static void writeTime(TProtocol out, long nanos) throws TException {
@@ -67,24 +62,21 @@
     static QuarantineReport read(TProtocol in) throws TException {
         List<PromptFailure> failures = new ArrayList<>();
         for (int i = PeerMessageCodec.readSize(in); i > 0; i--) {
-            failures.add(readFailure(in));
-        }
-        Map<Long, Long> successes = new HashMap<>();
-        for (int i = PeerMessageCodec.readSize(in); i > 0; i--) {
-            successes.put(in.readI64(), readTime(in));
+            failures.add(new PromptFailure(readKey(in), readTime(in), readTime(in), readParts(in)));
         }
+        Set<Long> provenParts = readParts(in);
         List<Quarantine> quarantines = new ArrayList<>();
         for (int i = PeerMessageCodec.readSize(in); i > 0; i--) {
-            quarantines.add(new Quarantine(readParts(in), readTime(in), readTime(in)));
+            Quarantine.Key key = new Quarantine.Key(readKey(in), readParts(in));
+            quarantines.add(new Quarantine(key, readParts(in), readTime(in)));
         }
-        return new QuarantineReport(failures, successes, quarantines);
+        return new QuarantineReport(failures, provenParts, quarantines);
     }
 
-    private static PromptFailure readFailure(TProtocol in) throws TException {
+    private static PromptFailure.Key readKey(TProtocol in) throws TException {
         EngineStart engine =
                 new EngineStart(PeerMessageCodec.readId(in), Incarnation.of(in.readString()));
-        return new PromptFailure(
-                engine, RequestId.of(in.readString()), readTime(in), readTime(in), readParts(in));
+        return new PromptFailure.Key(engine, RequestId.of(in.readString()));
     }
 
     /**
--- a/gateway/src/test/java/org/catkinproxy/gateway/PeerMessageCodecTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/PeerMessageCodecTest.java
@@ -29,6 +29,11 @@
     private static final InstanceId SELF = InstanceId.of("edge-1");
     private static final HostAndPort ADDRESS = HostAndPort.fromParts("10.0.0.1", 8_080);
 
+    private static final PromptFailure.Key FAILURE =
+            new PromptFailure.Key(
+                    new EngineStart(InstanceId.of("engine"), Incarnation.of("17")),
+                    RequestId.of("r1"));
+
     private static final List<PeerMessage> SAMPLES =
             List.of(
                     new PeerMessage.Heartbeat(
@@ -51,17 +56,16 @@
                             new QuarantineReport(
                                     List.of(
                                             new PromptFailure(
-                                                    new EngineStart(
-                                                            InstanceId.of("engine"),
-                                                            Incarnation.of("17")),
-                                                    RequestId.of("r1"),
+                                                    FAILURE,
                                                     -900_000_000L,
                                                     -5_000_000L,
                                                     Set.of(1L, -7L))),
-                                    Map.of(Long.MIN_VALUE, -3_000_000L),
+                                    Set.of(Long.MIN_VALUE),
                                     List.of(
                                             new Quarantine(
-                                                    Set.of(2L), -1_000_000L, 60_000_000_000L)))));
+                                                    new Quarantine.Key(FAILURE, Set.of(2L, 3L)),
+                                                    Set.of(2L),
+                                                    60_000_000_000L)))));
 
     @Example
     void messagesSurviveEncodingAndDecoding() {
