Keep quarantines in the store, for instances that start when no other one is left

The instance with the lowest id of those that are ready writes each quarantine once; every instance reads the table when it starts. CrashingPromptTest.partIsStillKnownAfterAllInstancesHaveRestarted failed before.

--- a/core/src/main/java/org/catkinproxy/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/PromptQuarantine.java
@@ -199,6 +199,12 @@
         return mQuarantines.values().stream().filter(q -> q.covers(all, now)).findFirst();
     }
 
+    /** Returns all quarantines, including lifted ones. */
+    public List<Quarantine> all(long now) {
+        expire(now);
+        return List.copyOf(mQuarantines.values());
+    }
+
     /** Returns the number of quarantines in force. */
     public int size(long now) {
         return (int) mQuarantines.values().stream().filter(q -> q.isInForce(now)).count();
--- a/core/src/main/java/org/catkinproxy/quarantine/QuarantineReport.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/QuarantineReport.java
@@ -22,6 +22,11 @@
         quarantines = List.copyOf(quarantines);
     }
 
+    /** Returns a report of quarantines whose times are those of the owner's clock. */
+    public static QuarantineReport ofStored(List<Quarantine> quarantines, long now) {
+        return new QuarantineReport(List.of(), Set.of(), quarantines).plusNanos(-now);
+    }
+
     /** Returns whether the report says nothing. */
     public boolean isEmpty() {
         return failures.isEmpty() && quarantines.isEmpty();
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -115,7 +115,7 @@
         mInstanceRegistry = new InstanceRegistry(this, store);
         mPeerMessenger = new PeerMessenger(this, settings.peerAddress());
         mCacheTracker = new CacheTracker(this, engineControl, settings.instance());
-        mPromptGuard = new PromptGuard(this, settings.instance());
+        mPromptGuard = new PromptGuard(this, store, settings.instance());
         String session = Long.toHexString(mRandom.nextLong());
         mRolloutBroadcast = new RolloutBroadcast(this, settings.instance());
         mRolloutTask =
@@ -154,6 +154,7 @@
         startHttpServer(mSettings.metricsAddress(), "metrics");
         logFailure(mPeerMessenger.start(), "peers");
         mInstanceRegistry.start();
+        mPromptGuard.start();
         mCacheTracker.start();
         watch(mRowReader.operatorTable(), mConfigWatcher, () -> Duration.ZERO);
         watch(mRowReader.upstreamTable(), mUpstreamTracker, this::upstreamPollDelay);
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
@@ -71,7 +71,7 @@
                 mGateway.instanceRegistry().heartbeat(loadByUpstream(), mGateway.tableVersions());
         send(heartbeat);
         send(heartbeat, mGateway.instanceRegistry().silentPeersToProbe());
-        mGateway.promptGuard().sendToSomePeers();
+        mGateway.promptGuard().repeatReport();
     }
 
     private Map<InstanceId, PeerLoads.Load> loadByUpstream() {
--- a/gateway/src/main/java/org/catkinproxy/gateway/PromptGuard.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PromptGuard.java
@@ -43,18 +43,27 @@
 
     private final Gateway mGateway;
     private final InstanceId mSelf;
+    private final QuarantineTable mTable;
     private final PromptQuarantine mQuarantine = PromptQuarantine.create();
     private final Random mRandom = new Random();
     private boolean mPublicationScheduled;
     private boolean mDecisionScheduled;
     private long mReportedAt;
 
-    PromptGuard(Gateway gateway, InstanceId self) {
+    PromptGuard(Gateway gateway, TableStore store, InstanceId self) {
         mGateway = gateway;
         mSelf = self;
+        mTable = new QuarantineTable(gateway, store);
         mReportedAt = gateway.now();
     }
 
+    /** Reads what was known when this instance started. */
+    void start() {
+        mTable.read(
+                quarantines ->
+                        merge(QuarantineReport.ofStored(quarantines, mGateway.now()), mSelf));
+    }
+
     /** Returns the quarantine that covers {@code prompt}, empty if there is none. */
     Optional<Quarantine> findQuarantine(Prompt prompt) {
         return mQuarantine.find(prompt.sharedPartIds(), mGateway.now());
@@ -116,13 +125,30 @@
         send(mGateway.instanceRegistry().peerAddresses().values());
     }
 
-    /** Sends a report to a few other instances, chosen at random, once per report interval. */
-    void sendToSomePeers() {
+    /**
+     * Once per report interval, sends a report to a few other instances, chosen at random, and
+     * writes the quarantines to the store if this is the instance to do so.
+     */
+    void repeatReport() {
         long now = mGateway.now();
         if (now - mReportedAt < REPORT_INTERVAL_NANOS) {
             return;
         }
         mReportedAt = now;
+        sendToSomePeers();
+        if (isWriter()) {
+            mTable.write(mQuarantine.all(now));
+        }
+    }
+
+    /** Returns whether this instance has the lowest id of those that accept callers. */
+    private boolean isWriter() {
+        return mGateway.isReady()
+                && mGateway.instanceRegistry().readyPeers().stream()
+                        .allMatch(p -> mSelf.compareTo(p) < 0);
+    }
+
+    private void sendToSomePeers() {
         List<InetSocketAddress> peers =
                 new ArrayList<>(mGateway.instanceRegistry().peerAddresses().values());
         Collections.shuffle(peers, mRandom);
@@ -138,7 +164,11 @@
 
     /** Handles a report of another instance. */
     void onPeerReport(PeerMessage.QuarantineUpdate update) {
-        begin(mQuarantine.merge(update.report(), mGateway.now()), update.instance());
+        merge(update.report(), update.instance());
+    }
+
+    private void merge(QuarantineReport report, InstanceId reporter) {
+        begin(mQuarantine.merge(report, mGateway.now()), reporter);
         scheduleDecision();
     }
 
