Log the limit that an upstream names in its responses

No instance read Server-Limit, and nothing in the logs said that an upstream named one. upstream_limited says it when it changes; no decision uses it yet. EngineStart becomes UpstreamStart in the serving package, since limits belong to a start of an upstream too.

--- a/core/src/main/java/org/catkinproxy/quarantine/PromptFailure.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/PromptFailure.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.Sets;
 
 import org.catkinproxy.id.RequestId;
+import org.catkinproxy.serving.UpstreamStart;
 
 import java.util.Set;
 
@@ -33,7 +34,7 @@
      * @param engine the engine
      * @param request the request
      */
-    public record Key(EngineStart engine, RequestId request) {
+    public record Key(UpstreamStart engine, RequestId request) {
         /** Checks that no component is null. */
         public Key {
             checkNotNull(engine, "engine");
@@ -41,7 +42,7 @@
         }
     }
 
-    EngineStart engine() {
+    UpstreamStart engine() {
         return key.engine();
     }
 
--- a/core/src/main/java/org/catkinproxy/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/PromptQuarantine.java
@@ -3,6 +3,7 @@
 import com.google.common.primitives.Longs;
 
 import org.catkinproxy.id.RequestId;
+import org.catkinproxy.serving.UpstreamStart;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -283,7 +284,7 @@
     }
 
     private Collection<Suspect> suspects(long now) {
-        Set<EngineStart> explained = explainedEngines(now);
+        Set<UpstreamStart> explained = explainedEngines(now);
         Map<Long, Suspect> suspects = new HashMap<>();
         for (PromptFailure failure : mFailures.values()) {
             for (long part : failure.suspects()) {
@@ -300,7 +301,7 @@
     }
 
     /** Returns the engines at which a prompt failed that a quarantine covers. */
-    private Set<EngineStart> explainedEngines(long now) {
+    private Set<UpstreamStart> explainedEngines(long now) {
         return mFailures.values().stream()
                 .filter(
                         f ->
@@ -342,7 +343,7 @@
      * and of these the newest first.
      */
     private List<PromptFailure> reportedFailures(long now) {
-        Set<EngineStart> explained = explainedEngines(now);
+        Set<UpstreamStart> explained = explainedEngines(now);
         Map<Long, Integer> failuresByPart = new HashMap<>();
         mFailures
                 .values()
--- a/core/src/main/java/org/catkinproxy/quarantine/Suspect.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/Suspect.java
@@ -1,5 +1,7 @@
 package org.catkinproxy.quarantine;
 
+import org.catkinproxy.serving.UpstreamStart;
+
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -86,7 +88,7 @@
                 failures.stream()
                         .sorted(Comparator.comparingLong(PromptFailure::failedAt))
                         .toList();
-        Set<EngineStart> engines = new HashSet<>();
+        Set<UpstreamStart> engines = new HashSet<>();
         PromptFailure last = null;
         for (PromptFailure failure : inOrder) {
             if (isSuccessor(failure, last) && engines.add(failure.engine())) {
--- a/core/src/test/java/org/catkinproxy/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/catkinproxy/quarantine/PromptQuarantineTest.java
@@ -7,6 +7,7 @@
 import org.catkinproxy.id.Incarnation;
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.RequestId;
+import org.catkinproxy.serving.UpstreamStart;
 
 import java.util.Arrays;
 import java.util.List;
@@ -28,7 +29,7 @@
 
     private static PromptFailure failure(
             String engine, String request, long sentMillis, long failedMillis, long... parts) {
-        EngineStart start = new EngineStart(InstanceId.of(engine), Incarnation.of("1"));
+        UpstreamStart start = new UpstreamStart(InstanceId.of(engine), Incarnation.of("1"));
         return new PromptFailure(
                 new PromptFailure.Key(start, RequestId.of(request)),
                 sentMillis * MILLI,
--- a/core/src/test/java/org/catkinproxy/quarantine/QuarantineFleetTest.java
+++ b/core/src/test/java/org/catkinproxy/quarantine/QuarantineFleetTest.java
@@ -10,6 +10,7 @@
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.RequestId;
 import org.catkinproxy.serving.FleetIntervals;
+import org.catkinproxy.serving.UpstreamStart;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -189,8 +190,8 @@
 
         /** Ends an engine: all requests that wait there fail. */
         private void failAll(int engine) {
-            EngineStart start =
-                    new EngineStart(
+            UpstreamStart start =
+                    new UpstreamStart(
                             InstanceId.of("e" + engine),
                             Incarnation.of("s" + mEngineStarts[engine]));
             mEngineStarts[engine]++;
@@ -205,7 +206,7 @@
             witnesses.forEach(i -> mFleet.after(6, () -> report(i, mLoad.instances())));
         }
 
-        private void fail(Request request, EngineStart start) {
+        private void fail(Request request, UpstreamStart start) {
             PromptQuarantine quarantine = mQuarantines[request.mInstance];
             long now = mFleet.now(request.mInstance);
             Set<Long> parts = new HashSet<>();
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -79,6 +79,7 @@
     private final PeerMessenger mPeerMessenger;
     private final CacheTracker mCacheTracker;
     private final PromptGuard mPromptGuard;
+    private final LimitGuard mLimitGuard;
     private final RolloutBroadcast mRolloutBroadcast;
     private final RolloutTask mRolloutTask;
     private final StopSequence mStopSequence;
@@ -115,6 +116,7 @@
         mInstanceRegistry = new InstanceRegistry(this, store);
         mPeerMessenger = new PeerMessenger(this, settings.peerAddress());
         mCacheTracker = new CacheTracker(this, engineControl, settings.instance());
+        mLimitGuard = new LimitGuard(this, settings.instance());
         mPromptGuard = new PromptGuard(this, store, settings.instance());
         String session = Long.toHexString(mRandom.nextLong());
         mRolloutBroadcast = new RolloutBroadcast(this, settings.instance());
@@ -516,6 +518,10 @@
         return mCacheTracker;
     }
 
+    LimitGuard limitGuard() {
+        return mLimitGuard;
+    }
+
     PromptGuard promptGuard() {
         return mPromptGuard;
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/PromptGuard.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PromptGuard.java
@@ -4,13 +4,13 @@
 
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.RequestId;
-import org.catkinproxy.quarantine.EngineStart;
 import org.catkinproxy.quarantine.PromptFailure;
 import org.catkinproxy.quarantine.PromptQuarantine;
 import org.catkinproxy.quarantine.Quarantine;
 import org.catkinproxy.quarantine.QuarantineReport;
 import org.catkinproxy.serving.Prompt;
 import org.catkinproxy.serving.Upstream;
+import org.catkinproxy.serving.UpstreamStart;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -89,7 +89,7 @@
     /** Records that an engine's connection broke before it was known to survive {@code prompt}. */
     void recordFailure(Upstream engine, RequestId request, Prompt prompt, long sentAt) {
         long now = mGateway.now();
-        PromptFailure.Key key = new PromptFailure.Key(EngineStart.of(engine), request);
+        PromptFailure.Key key = new PromptFailure.Key(UpstreamStart.of(engine), request);
         Set<Long> parts = Set.copyOf(Longs.asList(prompt.sharedPartIds()));
         mQuarantine.recordFailure(new PromptFailure(key, sentAt, now, parts), now);
         scheduleDecision();
@@ -184,7 +184,7 @@
                             "newest_failure",
                             quarantine.key().newestFailure().request(),
                             "engine",
-                            quarantine.key().newestFailure().engine().engine());
+                            quarantine.key().newestFailure().engine().upstream());
         }
         if (!quarantines.isEmpty()) {
             mGateway.onPromptsQuarantined();
--- a/gateway/src/main/java/org/catkinproxy/gateway/QuarantineReportCodec.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/QuarantineReportCodec.java
@@ -4,10 +4,10 @@
 import org.apache.thrift.protocol.TProtocol;
 import org.catkinproxy.id.Incarnation;
 import org.catkinproxy.id.RequestId;
-import org.catkinproxy.quarantine.EngineStart;
 import org.catkinproxy.quarantine.PromptFailure;
 import org.catkinproxy.quarantine.Quarantine;
 import org.catkinproxy.quarantine.QuarantineReport;
+import org.catkinproxy.serving.UpstreamStart;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -43,7 +43,7 @@
     }
 
     private static void writeKey(TProtocol out, PromptFailure.Key key) throws TException {
-        PeerMessageCodec.writeId(out, key.engine().engine());
+        PeerMessageCodec.writeId(out, key.engine().upstream());
         out.writeString(key.engine().incarnation().value());
         out.writeString(key.request().value());
     }
@@ -74,8 +74,8 @@
     }
 
     private static PromptFailure.Key readKey(TProtocol in) throws TException {
-        EngineStart engine =
-                new EngineStart(PeerMessageCodec.readId(in), Incarnation.of(in.readString()));
+        UpstreamStart engine =
+                new UpstreamStart(PeerMessageCodec.readId(in), Incarnation.of(in.readString()));
         return new PromptFailure.Key(engine, RequestId.of(in.readString()));
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/QuarantineTable.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/QuarantineTable.java
@@ -8,9 +8,9 @@
 import org.catkinproxy.id.Incarnation;
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.RequestId;
-import org.catkinproxy.quarantine.EngineStart;
 import org.catkinproxy.quarantine.PromptFailure;
 import org.catkinproxy.quarantine.Quarantine;
+import org.catkinproxy.serving.UpstreamStart;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -90,8 +90,8 @@
     }
 
     private Quarantine decode(JsonNode row) {
-        EngineStart engine =
-                new EngineStart(
+        UpstreamStart engine =
+                new UpstreamStart(
                         InstanceId.of(row.path("engine").asText()),
                         Incarnation.of(row.path("incarnation").asText()));
         PromptFailure.Key failure =
@@ -143,7 +143,7 @@
         long leftMillis = (quarantine.expiresAt() - mGateway.now()) / NANOS_PER_MILLI;
         ObjectNode row =
                 mJson.createObjectNode()
-                        .put("engine", failure.engine().engine().value())
+                        .put("engine", failure.engine().upstream().value())
                         .put("incarnation", failure.engine().incarnation().value())
                         .put("request", failure.request().value())
                         .put("expires_unix_ms", System.currentTimeMillis() + leftMillis);
--- a/gateway/src/main/java/org/catkinproxy/gateway/ResponseHead.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ResponseHead.java
@@ -4,6 +4,7 @@
 import org.catkinproxy.id.RequestId;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 
 /**
@@ -18,6 +19,8 @@
  * @param signed whether the response carries the upstream's signature
  * @param contentEncoded whether the body has a content encoding, and so was changed on its way
  * @param weightsVersion the version of the engine's weights, empty if not stated
+ * @param requestLimit the requests per second that the upstream accepts from all instances
+ *     together, empty if it names no limit
  * @param keepAliveSeconds how long the upstream keeps an idle connection, empty if not stated
  * @param closesConnection whether the upstream closes the connection after the response
  */
@@ -29,6 +32,7 @@
         boolean signed,
         boolean contentEncoded,
         OptionalInt weightsVersion,
+        OptionalDouble requestLimit,
         OptionalInt keepAliveSeconds,
         boolean closesConnection) {
     /**
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -272,6 +272,7 @@
         mResponse = response;
         mResponseHead = head;
         head.weightsVersion().ifPresent(this::recordWeightsVersion);
+        mGateway.limitGuard().onResponse(upstream(), head.requestLimit());
         if (!isEventStream()) {
             mBody = Unpooled.compositeBuffer();
         } else if (!head.isIdentified() || head.contentEncoded()) {
--- a/gateway/src/test/java/org/catkinproxy/gateway/PeerMessageCodecTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/PeerMessageCodecTest.java
@@ -12,12 +12,12 @@
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.ModelId;
 import org.catkinproxy.id.RequestId;
-import org.catkinproxy.quarantine.EngineStart;
 import org.catkinproxy.quarantine.PromptFailure;
 import org.catkinproxy.quarantine.Quarantine;
 import org.catkinproxy.quarantine.QuarantineReport;
 import org.catkinproxy.serving.PeerLoads;
 import org.catkinproxy.serving.RolloutState;
+import org.catkinproxy.serving.UpstreamStart;
 
 import java.util.Arrays;
 import java.util.List;
@@ -31,7 +31,7 @@
 
     private static final PromptFailure.Key FAILURE =
             new PromptFailure.Key(
-                    new EngineStart(InstanceId.of("engine"), Incarnation.of("17")),
+                    new UpstreamStart(InstanceId.of("engine"), Incarnation.of("17")),
                     RequestId.of("r1"));
 
     private static final List<PeerMessage> SAMPLES =
