--- a/core/src/main/java/org/catkinproxy/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/PromptQuarantine.java
@@ -39,6 +39,9 @@
     /** Time in which the other instances report what they saw of a crash. */
     public static final long SETTLE_NANOS = 50_000_000L;
 
+    /** Minimum time between two crashes that are not the same event, such as the loss of a rack. */
+    private static final long MIN_CRASH_DISTANCE_NANOS = 20_000_000L;
+
     /** Engines at which one request may fail. */
     private static final int MAX_FAILURES_PER_REQUEST = 2;
 
@@ -213,7 +216,8 @@
 
     /**
      * Returns whether a request that failed may be sent to another engine: it has not failed at too
-     * many engines, and was not sent after a failure of another request with the same suspects.
+     * many engines, and did not fail after another request with the same suspects, at another
+     * engine that did not crash at the same time.
      */
     public boolean mayRepeat(RequestId request, long[] parts, long now) {
         if (find(parts, now).isPresent()) {
@@ -231,7 +235,7 @@
         return mFailures.values().stream()
                 .filter(f -> !f.request().equals(failure.request()))
                 .filter(f -> !f.engine().equals(failure.engine()))
-                .filter(f -> failure.sentAt() - f.failedAt() >= 0)
+                .filter(f -> failure.failedAt() - f.failedAt() >= MIN_CRASH_DISTANCE_NANOS)
                 .map(PromptFailure::suspects)
                 .anyMatch(s -> !s.isEmpty() && parts.containsAll(s));
     }
--- a/core/src/test/java/org/catkinproxy/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/catkinproxy/quarantine/PromptQuarantineTest.java
@@ -140,6 +140,16 @@
         assertThat(mQuarantine.mayRepeat(RequestId.of("r2"), parts, 300 * MILLI)).isFalse();
     }
 
+    /** The load pattern: several requests with the part run at several engines at once. */
+    @Example
+    void requestThatFailsSoonAfterAnotherIsNotRepeated() {
+        long[] parts = {COMMON, CRASHING};
+        fail("e1", "r1", 0, 100, parts);
+        fail("e2", "r2", 10, 160, parts);
+        assertThat(mQuarantine.mayRepeat(RequestId.of("r1"), parts, 160 * MILLI)).isTrue();
+        assertThat(mQuarantine.mayRepeat(RequestId.of("r2"), parts, 160 * MILLI)).isFalse();
+    }
+
     @Example
     void soundRequestBesideCrashingOneIsRepeated() {
         fail("e1", "r1", 0, 100, COMMON, CRASHING);
