Move the attempts of a request and what they allow out of Exchange

AttemptHistory holds the counts of attempts, possible runs and rejections, and the charges to the retry budget. A stream that has output is not ended by a quarantine any more: its engine has begun and runs.

--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -1,7 +1,6 @@
 package org.catkinproxy.gateway;
 
 import org.catkinproxy.error.ErrorCode;
-import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.ServiceId;
 import org.catkinproxy.quarantine.Quarantine;
 import org.catkinproxy.serving.AdmissionPolicy;
@@ -13,7 +12,6 @@
 import org.catkinproxy.serving.RetryPolicy;
 import org.catkinproxy.serving.Route;
 import org.catkinproxy.serving.SendFailure;
-import org.catkinproxy.serving.SharedRetryBudget;
 import org.catkinproxy.serving.UpstreamChooser;
 import org.catkinproxy.serving.UpstreamState;
 
@@ -22,10 +20,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -67,16 +63,11 @@
     private final long mArrivedAt;
     private final long mDeadline;
     private final ServiceId mService;
-    private final SharedRetryBudget mBudget;
-    private final Set<InstanceId> mExcluded = new HashSet<>();
+    private final AttemptHistory mHistory;
     private final ServerSentEventSplitter mEventSplitter;
     private final Optional<UpstreamChooser.PlacementRequest> mPlacementRequest;
 
     private UpstreamAttempt mAttempt;
-    private int mAttemptCount;
-    private int mPossibleRunCount;
-    private int mRejectionCount;
-    private boolean mRetryCharged;
 
     /**
      * Whether the engine copies the run's KV cache to a backup engine as it grows, which is done
@@ -104,7 +95,7 @@
         mArrivedAt = gateway.now() - gateway.loopDelay().waitNanos(gateway.now());
         mDeadline = mArrivedAt + request.timeoutNanos();
         mService = request.service();
-        mBudget = gateway.retryBudget(mService);
+        mHistory = new AttemptHistory(gateway, route(), gateway.retryBudget(mService));
         mPlacementRequest = request.head().prompt().map(this::placementRequest);
         mBackupEnabled = mPlacementRequest.isPresent() && isUnrepeatableStream();
     }
@@ -132,7 +123,7 @@
     /** Starts the first attempt. */
     void start() {
         mGateway.addExchange(this);
-        mBudget.recordRequest(mArrivedAt);
+        mGateway.retryBudget(mService).recordRequest(mArrivedAt);
         armTimer(mDeadline);
         mGateway.startQueue().start(this::placeIfInTime);
     }
@@ -164,7 +155,7 @@
             return;
         }
         mCallerGone = true;
-        mLog.callerGone(mAttemptCount);
+        mLog.callerGone(mHistory.attempts());
         boolean runsOn =
                 mAttempt != null && mAttempt.isSent() && !route().kind().isCancelledOnDisconnect();
         if (!runsOn) {
@@ -187,13 +178,13 @@
     void endIfQuarantined() {
         boolean maySendOrCrash =
                 mAttempt == null || !mAttempt.isSent() || mAttempt.isPromptSuspect();
-        if (!mDone && maySendOrCrash) {
+        if (!mDone && !mStreaming && maySendOrCrash) {
             findQuarantine().ifPresent(this::endQuarantined);
         }
     }
 
     private void endQuarantined(Quarantine quarantine) {
-        boolean mayHaveRun = mPossibleRunCount > 0 || (mAttempt != null && mAttempt.isSent());
+        boolean mayHaveRun = mHistory.mayHaveRun() || (mAttempt != null && mAttempt.isSent());
         if (mStreaming) {
             mConnection.abort();
             finish("broken");
@@ -235,7 +226,7 @@
     private void waitForLimitOrGiveUp(long now) {
         OptionalLong waitNanos =
                 mGateway.limitGuard().nanosUntilAllowed(mGateway.upstreamStates(mService));
-        if (waitNanos.isEmpty() || mStreaming || mPossibleRunCount > 0) {
+        if (waitNanos.isEmpty() || mStreaming || mHistory.mayHaveRun()) {
             giveUp(ErrorCode.NO_UPSTREAM, "no upstream accepts requests");
         } else if (LimitWaitPolicy.mayWait(
                 route(), now - mArrivedAt + waitNanos.getAsLong(), mDeadline - now)) {
@@ -262,7 +253,7 @@
      */
     private AdmissionPolicy.Verdict decideAdmission(UpstreamChooser.Choice choice, long now) {
         if (mPlacementRequest.isEmpty()
-                || mAttemptCount > 0
+                || mHistory.attempts() > 0
                 || mRequest.head().lastEventId().isPresent()) {
             return AdmissionPolicy.Verdict.ADMIT;
         }
@@ -288,7 +279,7 @@
         if (lastEventId.isEmpty()) {
             lastEventId = mResumesFromBackup ? OptionalLong.of(0) : mRequest.head().lastEventId();
         }
-        mAttemptCount++;
+        mHistory.recordAttempt();
         mLog.placed(choice);
         mAttempt =
                 new UpstreamAttempt(
@@ -307,8 +298,9 @@
     private Optional<UpstreamChooser.Choice> choose(long now) {
         Collection<UpstreamState> states = mGateway.upstreamStates(mService);
         return mPlacementRequest.isEmpty()
-                ? mGateway.chooser().chooseUpstream(states, mExcluded, now)
-                : mGateway.chooser().chooseEngine(states, mExcluded, mPlacementRequest.get(), now);
+                ? mGateway.chooser().chooseUpstream(states, mHistory.tried(), now)
+                : mGateway.chooser()
+                        .chooseEngine(states, mHistory.tried(), mPlacementRequest.get(), now);
     }
 
     @Override
@@ -333,12 +325,12 @@
             mLog.resumed(
                     backup.get().target().upstream().id(), mEventSplitter.lastEventId().orElse(0));
             startAttempt(backup.get());
-        } else if (mayRetry(failure, now)) {
-            mExcluded.add(attempt.upstream().id());
+        } else if (mHistory.tryRetry(failure, mDeadline - now)) {
+            mHistory.recordTried(attempt.upstream());
             mEventSplitter.discardPartialEvent();
             place();
         } else if (!mStreaming && mayRetryLater(failure, now)) {
-            mExcluded.clear();
+            mHistory.forgetTried();
             mGateway.loop()
                     .schedule(
                             this::retryRejected,
@@ -359,7 +351,7 @@
         if (mStreaming) {
             mConnection.abort();
             finish("broken");
-        } else if (mPossibleRunCount == 0) {
+        } else if (!mHistory.mayHaveRun()) {
             refuse(refusalCode, reason);
         } else {
             fail(ErrorCode.UPSTREAM_FAILED, reason);
@@ -374,7 +366,7 @@
     private boolean mayRetryLater(SendFailure failure, long now) {
         long waited = now - mArrivedAt;
         return failure == SendFailure.REJECTED
-                && mPossibleRunCount == 0
+                && !mHistory.mayHaveRun()
                 && mRequest.head().prompt().isPresent()
                 && waited < MAX_REJECTED_WAIT_NANOS
                 && mDeadline - now > MAX_REJECTED_WAIT_NANOS;
@@ -384,7 +376,7 @@
         if (mDone) {
             return;
         }
-        if (mBudget.tryRetry(mGateway.now(), mGateway.instanceCount())) {
+        if (mHistory.tryCharge()) {
             place();
         } else if (mayRetryLater(SendFailure.REJECTED, mGateway.now())) {
             mGateway.loop()
@@ -425,7 +417,7 @@
                                 s.isAvailable(now)
                                         && s.knownVersion(mRequest.head().prompt().get())
                                                 == attempt.weightsVersion())
-                .filter(s -> tryChargeRetry(now))
+                .filter(s -> mHistory.tryCharge())
                 .map(UpstreamChooser.Choice::of);
     }
 
@@ -438,24 +430,8 @@
         return mEventSplitter.hasWeightsVersionChanged() || version != attempt.weightsVersion();
     }
 
-    /**
-     * Returns whether the request may be sent to another upstream. A retry is free if the
-     * connection failed, since nothing reached the upstream.
-     */
-    private boolean mayRetry(SendFailure failure, long now) {
-        return RetryPolicy.mayRetry(
-                        route(), failure, mPossibleRunCount, mRejectionCount, mDeadline - now)
-                && (failure == SendFailure.NOT_CONNECTED || tryChargeRetry(now));
-    }
-
-    /** Charges a retry to the budget, unless the next attempt has already been charged. */
-    private boolean tryChargeRetry(long now) {
-        boolean charged = mRetryCharged || mBudget.tryRetry(now, mGateway.instanceCount());
-        mRetryCharged = false;
-        return charged;
-    }
-
     private void recordFailure(UpstreamAttempt attempt, SendFailure failure, long now) {
+        mHistory.recordFailure(failure);
         UpstreamState state = attempt.upstreamState();
         switch (failure) {
             case NOT_CONNECTED, SILENT -> {
@@ -464,7 +440,6 @@
                 mLog.upstreamSuspect(state.upstream().id(), failure);
             }
             case REJECTED -> {
-                mRejectionCount++;
                 state.markRejecting(
                         now,
                         hasOutdatedWeights(state)
@@ -481,9 +456,6 @@
             case GARBLED, ERROR_ANSWER -> state.recordResponse(false, now);
             default -> throw new AssertionError(failure);
         }
-        if (!failure.isNotRun()) {
-            mPossibleRunCount++;
-        }
     }
 
     private boolean hasOutdatedWeights(UpstreamState state) {
@@ -520,8 +492,7 @@
 
     /** Abandons a stalled attempt if the budget allows a retry, and lets it continue otherwise. */
     private void onStalled(UpstreamAttempt attempt, long now) {
-        if (hasAlternative(attempt, now) && mBudget.tryRetry(now, mGateway.instanceCount())) {
-            mRetryCharged = true;
+        if (hasAlternative(attempt, now) && mHistory.tryChargeInAdvance()) {
             onAttemptFailed(
                     attempt,
                     SendFailure.SILENT,
@@ -536,7 +507,7 @@
         return mGateway.upstreamStates(mService).stream()
                 .map(UpstreamState::upstream)
                 .filter(u -> !u.id().equals(attempt.upstream().id()))
-                .filter(u -> !mExcluded.contains(u.id()))
+                .filter(u -> !mHistory.tried().contains(u.id()))
                 .anyMatch(u -> mGateway.limitGuard().maySend(u, now));
     }
 
@@ -554,7 +525,7 @@
      */
     private long stalledAt(UpstreamAttempt attempt) {
         boolean hasBackup = mBackupEnabled && mStreaming && !mResumesFromBackup;
-        boolean mayRetry = route().isSafeToRetry() && mPossibleRunCount + 1 < route().maxAttempts();
+        boolean mayRetry = mHistory.mayRunAgain();
         return attempt.isSent() && (hasBackup || mayRetry)
                 ? attempt.stalledAt(mStreaming)
                 : mDeadline;
@@ -566,8 +537,8 @@
         } else if (mStreaming) {
             mConnection.abort();
             finish("timed_out");
-        } else if (mAttemptCount == 0
-                || (mAttempt != null && !mAttempt.isSent() && mPossibleRunCount == 0)) {
+        } else if (mHistory.attempts() == 0
+                || (mAttempt != null && !mAttempt.isSent() && !mHistory.mayHaveRun())) {
             refuse(ErrorCode.DEADLINE_UNREACHABLE, "no attempt was sent before the deadline");
         } else {
             fail(ErrorCode.TIMED_OUT, "no complete response before the deadline");
@@ -581,7 +552,7 @@
 
     private void refuse(ErrorCode code, String reason, long retryAfterMillis) {
         long leftMillis = (mDeadline - mGateway.now()) / NANOS_PER_MILLI;
-        mLog.refused(code.wireName(), reason, mAttemptCount, leftMillis, retryAfterMillis);
+        mLog.refused(code.wireName(), reason, mHistory.attempts(), leftMillis, retryAfterMillis);
         mConnection.sendError(code, retryAfterMillis);
         finish("refused");
     }
@@ -606,7 +577,7 @@
         long now = mGateway.now();
         mGateway.metrics().recordRequest(route().kind(), outcome, now - mArrivedAt);
         long firstEventNanos = mFirstEventAt == 0 ? -1 : mFirstEventAt - mArrivedAt;
-        mLog.ended(outcome, mAttemptCount, firstEventNanos, now - mArrivedAt);
+        mLog.ended(outcome, mHistory.attempts(), firstEventNanos, now - mArrivedAt);
         mGateway.removeExchange(this);
     }
 
@@ -682,18 +653,9 @@
 
     private boolean tryChargeRetryElsewhere(UpstreamAttempt attempt) {
         long now = mGateway.now();
-        long left = mDeadline - now;
-        mRetryCharged =
-                !mCallerGone
-                        && RetryPolicy.mayRetry(
-                                route(),
-                                SendFailure.ERROR_ANSWER,
-                                mPossibleRunCount + 1,
-                                mRejectionCount,
-                                left)
-                        && hasAlternative(attempt, now)
-                        && mBudget.tryRetry(now, mGateway.instanceCount());
-        return mRetryCharged;
+        return !mCallerGone
+                && hasAlternative(attempt, now)
+                && mHistory.tryChargeInAdvanceOfError(mDeadline - now);
     }
 
     private void forwardFullResponse(UpstreamAttempt attempt, int status) {
