--- a/core/src/main/java/org/catkinproxy/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/PromptQuarantine.java
@@ -6,7 +6,6 @@
 import org.catkinproxy.serving.UpstreamStart;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -273,7 +272,7 @@
      * most crashes, or one less: failures of sound prompts are spread over more parts.
      */
     private Optional<Suspect> findCulprit(long now) {
-        Collection<Suspect> suspects = suspects(now);
+        List<Suspect> suspects = suspects(now);
         int mostCrashes =
                 suspects.stream().mapToInt(Suspect::unexplainedCrashCount).max().orElse(0);
         List<Suspect> likeliest =
@@ -287,21 +286,23 @@
                 .filter(s -> likeliest.stream().noneMatch(s::isRivalledBy));
     }
 
-    private Collection<Suspect> suspects(long now) {
+    private List<Suspect> suspects(long now) {
         Set<UpstreamStart> explained = explainedEngines(now);
-        Map<Long, Suspect> suspects = new HashMap<>();
+        Map<Long, List<PromptFailure>> failuresByPart = new HashMap<>();
         for (PromptFailure failure : mFailures.values()) {
             for (long part : failure.suspects()) {
-                Suspect suspect =
-                        suspects.computeIfAbsent(
-                                part, p -> Suspect.of(p, mProvenAt.containsKey(p)));
-                suspect.failures().add(failure);
-                if (!explained.contains(failure.engine())) {
-                    suspect.unexplained().add(failure);
-                }
+                failuresByPart.computeIfAbsent(part, p -> new ArrayList<>()).add(failure);
             }
         }
-        return suspects.values();
+        return failuresByPart.entrySet().stream()
+                .map(
+                        e ->
+                                Suspect.of(
+                                        e.getKey(),
+                                        mProvenAt.containsKey(e.getKey()),
+                                        e.getValue(),
+                                        explained))
+                .toList();
     }
 
     /** Returns the engines at which a prompt failed that a quarantine covers. */
--- a/core/src/main/java/org/catkinproxy/quarantine/Suspect.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/Suspect.java
@@ -2,7 +2,6 @@
 
 import org.catkinproxy.serving.UpstreamStart;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -11,7 +10,7 @@
 /**
  * A prompt part that may have crashed engines, and the evidence for it.
  *
- * <p>Immutable, provided that the lists are not modified.
+ * <p>Immutable and thread-safe.
  *
  * @param part the part's id
  * @param wasProven whether a prompt with the part was proven sound before the failures
@@ -44,8 +43,25 @@
             Comparator.comparing(Suspect::wasProven)
                     .thenComparingInt(s -> requestCount(s.failures) - 2 * crashCount(s.failures));
 
-    static Suspect of(long part, boolean wasProven) {
-        return new Suspect(part, wasProven, new ArrayList<>(), new ArrayList<>());
+    /** Copies the lists. */
+    Suspect {
+        failures = List.copyOf(failures);
+        unexplained = List.copyOf(unexplained);
+    }
+
+    /**
+     * Returns a suspect.
+     *
+     * @param explained the engines where a prompt failed that a quarantine covers
+     */
+    static Suspect of(
+            long part,
+            boolean wasProven,
+            List<PromptFailure> failures,
+            Set<UpstreamStart> explained) {
+        List<PromptFailure> unexplained =
+                failures.stream().filter(f -> !explained.contains(f.engine())).toList();
+        return new Suspect(part, wasProven, failures, unexplained);
     }
 
     /** Returns the number of engines that crashed and are not explained. */
--- a/core/src/test/java/org/catkinproxy/fleet/SimulatedFleet.java
+++ b/core/src/test/java/org/catkinproxy/fleet/SimulatedFleet.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.function.IntConsumer;
 
 /**
  * Instances that exchange datagrams on a virtual clock, with restarts, cuts and busy event loops.
@@ -19,6 +21,11 @@
     private static final double DATAGRAM_LOSS = 0.03;
     private static final int MAX_DELAY_MILLIS = 5;
 
+    private static final long CUT_INTERVAL_MILLIS = 5_000;
+    private static final long CUT_MILLIS = 6_000;
+    private static final long BUSY_INTERVAL_MILLIS = 1_500;
+    private static final long BUSY_MILLIS = 1_000;
+
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
@@ -115,7 +122,7 @@
                 peers.add(i);
             }
         }
-        java.util.Collections.shuffle(peers, mRandom);
+        Collections.shuffle(peers, mRandom);
         return peers;
     }
 
@@ -134,6 +141,22 @@
         mBusyUntil[instance] = Math.max(mBusyUntil[instance], mNowMillis + millis);
     }
 
+    /** Cuts a third of the instances from the others, again and again. */
+    public void cutSomeRepeatedly() {
+        every(CUT_INTERVAL_MILLIS, () -> forSome(size() / 3, i -> cut(i, CUT_MILLIS)));
+    }
+
+    /** Keeps the event loops of half of the instances busy, again and again. */
+    public void keepSomeBusyRepeatedly() {
+        every(BUSY_INTERVAL_MILLIS, () -> forSome(size() / 2, i -> keepBusy(i, BUSY_MILLIS)));
+    }
+
+    private void forSome(int count, IntConsumer action) {
+        for (int i = 0; i < count; i++) {
+            action.accept(mRandom.nextInt(size()));
+        }
+    }
+
     /** Drops what is on its way to an instance that restarts. */
     public void restart(int instance) {
         mStarts[instance]++;
--- a/core/src/test/java/org/catkinproxy/limit/LimitFleetTest.java
+++ b/core/src/test/java/org/catkinproxy/limit/LimitFleetTest.java
@@ -231,30 +231,12 @@
 
     @Example
     void instancesThatAreCutKeepTheLimit() {
-        play(
-                (day, fleet) ->
-                        fleet.every(
-                                5_000,
-                                () -> {
-                                    for (int i = 0; i < fleet.size() / 3; i++) {
-                                        fleet.cut(fleet.random().nextInt(fleet.size()), 4_000);
-                                    }
-                                }),
-                0);
+        play((day, fleet) -> fleet.cutSomeRepeatedly(), 0);
     }
 
     @Example
     void instancesWithBusyEventLoopsKeepTheLimit() {
-        play(
-                (day, fleet) ->
-                        fleet.every(
-                                1_500,
-                                () -> {
-                                    for (int i = 0; i < fleet.size() / 2; i++) {
-                                        fleet.keepBusy(fleet.random().nextInt(fleet.size()), 1_000);
-                                    }
-                                }),
-                0);
+        play((day, fleet) -> fleet.keepSomeBusyRepeatedly(), 0);
     }
 
     /** The load pattern is a surge after a quiet time, in which all instances saved requests. */
--- a/core/src/test/java/org/catkinproxy/quarantine/QuarantineFleetTest.java
+++ b/core/src/test/java/org/catkinproxy/quarantine/QuarantineFleetTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.google.common.primitives.Longs;
+
 import net.jqwik.api.Example;
 
 import org.catkinproxy.fleet.SimulatedFleet;
@@ -17,6 +19,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
  * A part that crashes engines is kept from them by all instances soon, and sound prompts are not.
@@ -59,11 +62,7 @@
         }
 
         boolean isBad() {
-            return Set.of(CRASHING_PART).stream().anyMatch(this::hasPart);
-        }
-
-        private boolean hasPart(long part) {
-            return java.util.Arrays.stream(mParts).anyMatch(p -> p == part);
+            return Longs.contains(mParts, CRASHING_PART);
         }
     }
 
@@ -102,7 +101,7 @@
             arrive(load.badPerSecond(), this::badParts);
         }
 
-        private void arrive(double perSecond, java.util.function.Supplier<long[]> parts) {
+        private void arrive(double perSecond, Supplier<long[]> parts) {
             long wait = (long) (-1_000 / perSecond * Math.log(1 - mRandom.nextDouble()));
             mFleet.after(
                     wait,
@@ -209,8 +208,7 @@
         private void fail(Request request, UpstreamStart start) {
             PromptQuarantine quarantine = mQuarantines[request.mInstance];
             long now = mFleet.now(request.mInstance);
-            Set<Long> parts = new HashSet<>();
-            java.util.Arrays.stream(request.mParts).forEach(parts::add);
+            Set<Long> parts = Set.copyOf(Longs.asList(request.mParts));
             quarantine.recordFailure(
                     new PromptFailure(
                             new PromptFailure.Key(start, request.mId),
@@ -296,28 +294,12 @@
 
     @Example
     void instancesThatWereCutLearnThePart() {
-        playAll(
-                (day, fleet) ->
-                        fleet.every(
-                                5_000,
-                                () -> {
-                                    for (int i = 0; i < fleet.size() / 3; i++) {
-                                        fleet.cut(fleet.random().nextInt(fleet.size()), 6_000);
-                                    }
-                                }));
+        playAll((day, fleet) -> fleet.cutSomeRepeatedly());
     }
 
     @Example
     void instancesWithBusyEventLoopsLearnThePart() {
-        playAll(
-                (day, fleet) ->
-                        fleet.every(
-                                1_500,
-                                () -> {
-                                    for (int i = 0; i < fleet.size() / 2; i++) {
-                                        fleet.keepBusy(fleet.random().nextInt(fleet.size()), 1_000);
-                                    }
-                                }));
+        playAll((day, fleet) -> fleet.keepSomeBusyRepeatedly());
     }
 
     @Example
