--- a/core/src/test/java/org/catkinproxy/serving/LimitWaitPolicyTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/LimitWaitPolicyTest.java
@@ -7,7 +7,7 @@
 /** Tests how long a request waits for the limit of an upstream. */
 class LimitWaitPolicyTest {
     /** Its latency target is 200 ms. */
-    private static final Route ROUTE = Samples.route(CallKind., false, 2);
+    private static final Route ROUTE = Samples.route(CallKind.IDEMPOTENT, false, 2);
 
     private static boolean mayWait(long waitMillis, long leftMillis) {
         return LimitWaitPolicy.mayWait(
