--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -63,13 +63,13 @@
     private Reply respond(Http.Message request) throws IOException, InterruptedException {
         Map<String, String> query = query(request.target());
         String path = request.path();
-        if (path.equals(Wire.name("call-rows-get"))) {
+        if (path.equals(Wire.name("call-range"))) {
             return get(query);
         }
-        if (path.equals(Wire.name("call-rows-feed"))) {
+        if (path.equals(Wire.name("call-feed"))) {
             return feed(query);
         }
-        if (path.equals(Wire.name("call-rows-tx"))) {
+        if (path.equals(Wire.name("call-transact"))) {
             return transact(mJson.readTree(request.body()));
         }
         return new Reply(404, mJson.createObjectNode());
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -30,8 +30,9 @@
     private final String mService;
     private final boolean mEngine;
     private final Work mWork;
-    private final long mBorn = System.currentTimeMillis();
-    private final Server mServer = new Server(this::handle);
+    private volatile long mBorn = System.currentTimeMillis();
+    private final Server mServer = Server.withSilence(this::handle);
+    private volatile boolean mDown;
     private int mVersion = 1;
     private long mOrders;
     private long mBeats;
@@ -65,9 +66,37 @@
         return mServer.address();
     }
 
+    /** Returns the number of the present life, which ends with a crash. */
+    int life() {
+        return mServer.life();
+    }
+
+    /**
+     * Crashes without a sign on any connection, and starts again after {@code millis} under the same
+     * id. What it ran is gone.
+     */
+    void crashSilently(long millis) {
+        mDown = true;
+        mServer.beginSilence();
+        Server.daemon(
+                () -> {
+                    try {
+                        Thread.sleep(millis);
+                    } catch (InterruptedException e) {
+                        return;
+                    }
+                    mBorn = System.currentTimeMillis();
+                    mDown = false;
+                    mStore.put("servers", mId, row());
+                    mServer.endSilence();
+                });
+    }
+
     private void beat() {
         while (true) {
-            mStore.put("servers", mId, row());
+            if (!mDown) {
+                mStore.put("servers", mId, row());
+            }
             try {
                 Thread.sleep(HEARTBEAT_MILLIS);
             } catch (InterruptedException e) {
