--- a/review/standins/Gateway.java
+++ b/review/standins/Gateway.java
@@ -29,7 +29,7 @@
     private Process mProcess;
 
     /** Writes the settings of a gateway of a small deployment; {@link #start} starts it. */
-    Gateway(Path folder, String name, Store store) throws IOException {
+    Gateway(Path folder, String name, String storeAddress) throws IOException {
         mFolder = folder;
         mName = name;
         String settings =
@@ -52,7 +52,7 @@
                 """
                         .formatted(
                                 name, mMetrics, mPeers, mPeers, mFront, mReady, mDirectory,
-                                store.address());
+                                storeAddress);
         Files.writeString(settingsFile(), settings);
     }
 
