--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 # TROUBLE=0 runs the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout -k 5 115 java -Xmx256m -cp "target/review:target/catkinproxy-platform/lib/*" StopUnderLoad
+exec timeout -k 5 115 java -Xmx256m -cp "target/review:target/catkinproxy-platform/lib/*" RollingRestart
--- a/review/standins/Directory.java
+++ b/review/standins/Directory.java
@@ -1,54 +1,52 @@
+import java.util.ArrayList;
+import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
- * What clients know of the addresses of gateways: they ask again each second, and keep an older
- * response while they cannot obtain one with an address. Thread-safe.
+ * What one client knows of the addresses of gateways. It asks the gateways in turn once its response
+ * has expired, and keeps an older one while it cannot obtain one with an address. Not thread-safe.
  */
 final class Directory {
-    private static final long TTL_MILLIS = 1_000;
+    private static final long RETRY_NANOS = 1_000_000_000L;
     private static final Pattern ADDRESS = Pattern.compile("127\\.0\\.0\\.1:(\\d+)");
 
-    private final Record mRecord;
-    private final Gateway mGateway;
-    private volatile int mFront;
+    private final List<Gateway> mGateways;
+    private final long mTtlNanos;
+    private List<Integer> mFronts = List.of();
+    private long mExpiresAt = System.nanoTime();
 
-    /** Asks {@code gateway} for the first time and goes on asking it. */
-    Directory(Record record, Gateway gateway) {
-        mRecord = record;
-        mGateway = gateway;
-        refresh();
-        if (mFront == 0) {
-            throw new IllegalStateException("directory names no address");
-        }
-        Server.daemon(this::refreshForever);
-    }
-
-    int front() {
-        return mFront;
+    /**
+     * Creates the knowledge of one client.
+     *
+     * @param ttlMillis how long the client keeps a response
+     */
+    Directory(List<Gateway> gateways, long ttlMillis) {
+        mGateways = gateways;
+        mTtlNanos = ttlMillis * 1_000_000;
     }
 
-    private void refreshForever() {
-        try {
-            while (true) {
-                Thread.sleep(TTL_MILLIS);
-                refresh();
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+    /** Returns the ports at which the client may connect. */
+    List<Integer> fronts() {
+        if (System.nanoTime() - mExpiresAt >= 0) {
+            refresh();
         }
+        return mFronts;
     }
 
     private void refresh() {
-        String response = mGateway.resolve();
-        Matcher address = ADDRESS.matcher(response);
-        boolean hasAddress = address.find();
-        if (hasAddress) {
-            mFront = Integer.parseInt(address.group(1));
+        mExpiresAt = System.nanoTime() + RETRY_NANOS;
+        for (Gateway gateway : mGateways) {
+            List<Integer> fronts = new ArrayList<>();
+            Matcher address = ADDRESS.matcher(gateway.resolve());
+            while (address.find()) {
+                fronts.add(Integer.parseInt(address.group(1)));
+            }
+            if (!fronts.isEmpty()) {
+                mFronts = fronts;
+                mExpiresAt = System.nanoTime() + mTtlNanos;
+                return;
+            }
         }
-        mRecord.add(
-                "directory says %s%s",
-                response.isEmpty() ? "nothing" : response,
-                hasAddress ? "" : ", so clients keep the address that they have");
     }
 }
