--- a/review/1/EarlyAnswer.java
+++ b/review/1/EarlyAnswer.java
@@ -16,7 +16,7 @@
 
 /**
  * Workers begin to answer before they have read a long body, and their answers have no length. One of
- * four workers crashes, again and again, while it answers.
+ * four workers crashes three times while it answers.
  */
 final class EarlyAnswer {
     private static final int WORKERS = 4;
@@ -32,7 +32,8 @@
     private static final int PIECES = 8;
     private static final long PIECE_MILLIS = 30;
     private static final long DOWN_MILLIS = 1_000;
-    private static final long CRASH_MILLIS = 3_000;
+    private static final long CRASH_MILLIS = 4_000;
+    private static final int CRASHES = 3;
     private static final String KEY = "key-of-the-portal";
     private static final String PIECE = "piece %d of the decision on request %s\n";
 
@@ -57,7 +58,7 @@
         Gateway gateway = mRun.gateway("edge-1").start();
         Thread.sleep(1_500);
         if (Case.hasTrouble()) {
-            Server.daemon(() -> crashAgainAndAgain(workers.get(0)));
+            Server.daemon(() -> crashThreeTimes(workers.get(0)));
         }
         AtomicInteger next = new AtomicInteger();
         List<Thread> clients = new ArrayList<>();
@@ -77,9 +78,9 @@
         return mWrong.isEmpty();
     }
 
-    private static void crashAgainAndAgain(EarlyWorker worker) {
+    private static void crashThreeTimes(EarlyWorker worker) {
         try {
-            while (true) {
+            for (int i = 0; i < CRASHES; i++) {
                 Thread.sleep(CRASH_MILLIS);
                 worker.crashInNextAnswer();
             }
--- a/review/3/SpoiledEvent.java
+++ b/review/3/SpoiledEvent.java
@@ -16,6 +16,11 @@
     private static final int EVENTS_PER_CHUNK = 2;
     private static final int SPOILED_EVENT = 6;
     private static final double SPOILED_SHARE = 0.02;
+
+    /** Workers spoil answers for the first part of each period. */
+    private static final long GARBLING_MILLIS = 5_500;
+
+    private static final long PERIOD_MILLIS = 8_000;
     private static final int FAULTY_WORKERS = 2;
     private static final int WORKERS = 4;
     private static final int CLIENTS = 24;
@@ -38,6 +43,7 @@
                 (worker, request, out, socket) -> {
                     boolean spoils =
                             Case.hasTrouble()
+                                    && isGarbling()
                                     && ThreadLocalRandom.current().nextDouble() < SPOILED_SHARE;
                     stream(run, worker, request, out, socket, spoils);
                 };
@@ -69,6 +75,10 @@
         return wrong.get() == 0;
     }
 
+    private static boolean isGarbling() {
+        return System.nanoTime() / 1_000_000 % PERIOD_MILLIS < GARBLING_MILLIS;
+    }
+
     private static void stream(
             Case run,
             Worker worker,
