Pass on the events before a spoiled one; a resumed stream has no gap

The splitter raised its last id for each valid event of a piece, then found a spoiled one and dropped the whole piece; the next engine was asked to go on after an event that had never been delivered.

split() now returns the valid events and the fault together, and the last id is always that of an event that it returned. The attempt delivers these first; only then may the limit for buffered responses or the fault end it. The same held for valid events ahead of one above the size limit.

Ruled out: the engines, which sent all events and resumed after the id that they were given.

--- a/gateway/src/main/java/org/catkinproxy/gateway/ServerSentEventSplitter.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ServerSentEventSplitter.java
@@ -5,13 +5,15 @@
 import io.netty.buffer.Unpooled;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
  * Splits a server-sent event stream after complete events, so that no truncated event is forwarded.
  *
- * <p>The ids of the events must increase, also across the attempts that deliver one stream. Used by
- * the event loop only.
+ * <p>The ids of the events must increase, also across the attempts that deliver one stream. {@link
+ * #lastEventId} is the id of the last event that was returned, so a stream that resumes after it
+ * has no gap. Used by the event loop only.
  */
 final class ServerSentEventSplitter {
     /** Limit for one event; an event holds the text of a few tokens. */
@@ -34,31 +36,55 @@
     }
 
     /**
-     * Appends a piece of the stream, takes over its ownership and returns the events that are now
-     * complete, possibly none.
+     * What a piece adds to the stream.
      *
-     * @throws IllegalArgumentException if the ids of the events do not increase, or an event is too
-     *     large
+     * @param events the events that are now complete, possibly none; the receiver releases them
+     * @param fault why the stream cannot go on after these events, empty if it can
+     */
+    record Split(ByteBuf events, Optional<String> fault) {}
+
+    /** An event that violates the format of the stream. */
+    private static final class InvalidEventException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        InvalidEventException(String message) {
+            super(message);
+        }
+    }
+
+    /**
+     * Appends a piece of the stream, takes over its ownership and returns the events that are now
+     * complete. An event whose id does not increase, or that is too large, is a fault: it is
+     * dropped together with all that follows it in the piece.
      */
-    ByteBuf split(ByteBuf piece) {
+    Split split(ByteBuf piece) {
         int scannedBytes = mPartialEvent.readableBytes();
         ByteBuf buffer = appendToPartialEvent(piece);
         int end = endOfLastEvent(buffer, Math.max(0, scannedBytes - 1));
         if (end == buffer.readerIndex()) {
             keepPartialEvent(buffer, piece);
-            checkPartialEvent();
-            return Unpooled.EMPTY_BUFFER;
+            return new Split(Unpooled.EMPTY_BUFFER, checkPartialEvent());
         }
-        ByteBuf complete = buffer.readRetainedSlice(end - buffer.readerIndex());
-        keepPartialEvent(buffer, buffer);
+        int validEnd = buffer.readerIndex();
         try {
-            readIds(complete);
-            checkPartialEvent();
-        } catch (IllegalArgumentException e) {
-            complete.release();
-            throw e;
+            while (validEnd < end) {
+                validEnd = readEvent(buffer, validEnd);
+            }
+        } catch (InvalidEventException e) {
+            return new Split(
+                    takeUntil(buffer, validEnd, buffer.writerIndex()), Optional.of(e.getMessage()));
         }
-        return complete;
+        return new Split(takeUntil(buffer, end, end), checkPartialEvent());
+    }
+
+    /**
+     * Returns the bytes of {@code buffer} up to {@code end} and keeps those from {@code next} on.
+     */
+    private ByteBuf takeUntil(ByteBuf buffer, int end, int next) {
+        ByteBuf events = buffer.readRetainedSlice(end - buffer.readerIndex());
+        buffer.readerIndex(next);
+        keepPartialEvent(buffer, buffer);
+        return events;
     }
 
     private ByteBuf appendToPartialEvent(ByteBuf piece) {
@@ -86,10 +112,10 @@
         buffer.release();
     }
 
-    private void checkPartialEvent() {
-        if (mPartialEvent.readableBytes() > MAX_EVENT_BYTES) {
-            throw new IllegalArgumentException("event exceeds " + MAX_EVENT_BYTES + " bytes");
-        }
+    private Optional<String> checkPartialEvent() {
+        return mPartialEvent.readableBytes() > MAX_EVENT_BYTES
+                ? Optional.of("event exceeds " + MAX_EVENT_BYTES + " bytes")
+                : Optional.empty();
     }
 
     /** Returns the size of the incomplete event that is buffered. */
@@ -97,7 +123,7 @@
         return mPartialEvent.readableBytes();
     }
 
-    /** Returns the id of the last complete event, empty before the first. */
+    /** Returns the id of the last event that was returned, empty before the first. */
     OptionalLong lastEventId() {
         return mLastEventId == Long.MIN_VALUE
                 ? OptionalLong.empty()
@@ -137,16 +163,31 @@
         return bytes.readerIndex();
     }
 
-    private void readIds(ByteBuf events) {
-        int at = events.readerIndex();
-        while (at < events.writerIndex()) {
-            int end = events.indexOf(at, events.writerIndex(), (byte) '\n');
-            mWeightsVersionChanged |= startsWith(events, at, end, mWeightsVersionField);
-            if (startsWith(events, at, end, ID_FIELD)) {
-                readId(events.toString(at, end - at, StandardCharsets.US_ASCII));
+    /**
+     * Reads the event that begins at index {@code at} and returns the index after it. Nothing is
+     * recorded of an invalid event.
+     */
+    private int readEvent(ByteBuf events, int at) throws InvalidEventException {
+        long id = mLastEventId;
+        boolean weightsVersionChanged = false;
+        int lineAt = at;
+        int lineEnd = endOfLine(events, lineAt);
+        while (lineEnd > lineAt) {
+            weightsVersionChanged |= startsWith(events, lineAt, lineEnd, mWeightsVersionField);
+            if (startsWith(events, lineAt, lineEnd, ID_FIELD)) {
+                String line = events.toString(lineAt, lineEnd - lineAt, StandardCharsets.US_ASCII);
+                id = readId(line, id);
             }
-            at = end + 1;
+            lineAt = lineEnd + 1;
+            lineEnd = endOfLine(events, lineAt);
         }
+        mLastEventId = id;
+        mWeightsVersionChanged |= weightsVersionChanged;
+        return lineEnd + 1;
+    }
+
+    private static int endOfLine(ByteBuf events, int at) {
+        return events.indexOf(at, events.writerIndex(), (byte) '\n');
     }
 
     private static boolean startsWith(ByteBuf events, int at, int end, byte[] field) {
@@ -154,17 +195,17 @@
                 && ByteBufUtil.equals(events, at, Unpooled.wrappedBuffer(field), 0, field.length);
     }
 
-    private void readId(String line) {
+    private static long readId(String line, long previousId) throws InvalidEventException {
         long id;
         try {
             id = Long.parseLong(line.substring(ID_FIELD.length).trim());
         } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("event id is not a number: " + line, e);
+            throw new InvalidEventException("event id is not a number: " + line);
         }
-        if (id <= mLastEventId) {
-            throw new IllegalArgumentException(
-                    "event id " + id + " does not exceed the previous id " + mLastEventId);
+        if (id <= previousId) {
+            throw new InvalidEventException(
+                    "event id " + id + " does not exceed the previous id " + previousId);
         }
-        mLastEventId = id;
+        return id;
     }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -322,16 +322,20 @@
         }
     }
 
+    /** Passes on what is complete first, so that the stream resumes after what was delivered. */
     private void splitEvents(ByteBuf content) {
-        ByteBuf events;
-        try {
-            events = mEventSplitter.split(content);
-        } catch (IllegalArgumentException e) {
-            mListener.onAttemptFailed(this, SendFailure.GARBLED, e.getMessage());
-            return;
+        ServerSentEventSplitter.Split split = mEventSplitter.split(content);
+        passOnEvents(split.events());
+        if (!mClosed) {
+            mGateway.recordBufferedBytes(this, mEventSplitter.partialEventBytes());
+        }
+        if (!mClosed) {
+            split.fault().ifPresent(f -> mListener.onAttemptFailed(this, SendFailure.GARBLED, f));
         }
-        mGateway.recordBufferedBytes(this, mEventSplitter.partialEventBytes());
-        if (mClosed || !events.isReadable()) {
+    }
+
+    private void passOnEvents(ByteBuf events) {
+        if (!events.isReadable()) {
             events.release();
             return;
         }
--- a/gateway/src/test/java/org/catkinproxy/gateway/ServerSentEventSplitterTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/ServerSentEventSplitterTest.java
@@ -8,7 +8,6 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 
 import java.nio.charset.StandardCharsets;
@@ -19,8 +18,11 @@
     private ServerSentEventSplitter mSplitter = new ServerSentEventSplitter("weights");
 
     private String split(String piece) {
-        ByteBuf complete = mSplitter.split(Unpooled.copiedBuffer(piece, StandardCharsets.US_ASCII));
-        return complete.toString(StandardCharsets.US_ASCII);
+        return splitUpToFault(piece).events().toString(StandardCharsets.US_ASCII);
+    }
+
+    private ServerSentEventSplitter.Split splitUpToFault(String piece) {
+        return mSplitter.split(Unpooled.copiedBuffer(piece, StandardCharsets.US_ASCII));
     }
 
     @Property
@@ -45,14 +47,41 @@
     @Example
     void repeatedEventIdIsRejected() {
         split("id: 3\n\n");
-        String forwarded;
-        try {
-            forwarded = split("id: 3\n\n");
-        } catch (IllegalArgumentException e) {
-            assertThat(e).hasMessageThat().contains("3");
-            return;
+        ServerSentEventSplitter.Split split = splitUpToFault("id: 3\n\n");
+        assertThat(split.fault().get()).contains("3");
+        assertThat(split.events().isReadable()).isFalse();
+    }
+
+    /** Guards against resuming after an event that arrived whole but was never passed on. */
+    @Example
+    void eventsBeforeSpoiledOneAreKept() {
+        for (String spoiled : List.of("id: #3\ndata: c\n\n", "id: 2\ndata: c\n\n")) {
+            mSplitter = new ServerSentEventSplitter("weights");
+            String sound = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+            ServerSentEventSplitter.Split split =
+                    splitUpToFault(sound + spoiled + "id: 4\ndata: d\n\n");
+            assertThat(split.events().toString(StandardCharsets.US_ASCII)).isEqualTo(sound);
+            assertThat(split.fault().isPresent()).isTrue();
+            assertThat(mSplitter.lastEventId().getAsLong()).isEqualTo(2);
+            assertThat(mSplitter.hasPartialEvent()).isFalse();
         }
-        throw new AssertionError("forwarded: " + forwarded);
+    }
+
+    /** Guards against dropping the whole events that arrive with the start of an endless one. */
+    @Example
+    void eventsBeforeOversizedOneAreKept() {
+        String sound = "id: 1\ndata: a\n\n";
+        ServerSentEventSplitter.Split split =
+                splitUpToFault(sound + "id: 2\ndata: " + "x".repeat(300_000));
+        assertThat(split.events().toString(StandardCharsets.US_ASCII)).isEqualTo(sound);
+        assertThat(split.fault().get()).contains("exceeds");
+        assertThat(mSplitter.lastEventId().getAsLong()).isEqualTo(1);
+    }
+
+    @Example
+    void weightsVersionOfSpoiledEventIsIgnored() {
+        splitUpToFault("id: 3\n\nweights: 2\nid: #4\n\n");
+        assertThat(mSplitter.hasWeightsVersionChanged()).isFalse();
     }
 
     @Example
