A response ends whole with its connection only if the request was written

An upstream that crashes before it has read the request resets the connection. The event loop meets the reset in a write, and Netty closes the channel without exceptionCaught: only the future of the write tells, and it was ignored. The decoder then takes the end of the channel for the end of a body without a length.

The connection follows the write of each request now. A failed write breaks the attempt; a body that ends with the connection is whole only if the request was written before, as an upstream reads a request to its end before it closes in peace.

--- a/gateway/src/main/java/org/catkinproxy/gateway/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StrictResponseDecoder.java
@@ -3,7 +3,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -41,6 +43,13 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Returns whether the body of {@code response} has no length and ends with the connection. */
+    boolean endsWithConnection(HttpResponse response) {
+        return !isContentAlwaysEmpty(response)
+                && !HttpUtil.isContentLengthSet(response)
+                && !HttpUtil.isTransferEncodingChunked(response);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         if (!mRequestOpen) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnection.java
@@ -19,10 +19,15 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 
 /**
  * A connection to an upstream, which carries one request at a time.
  *
+ * <p>A response that ends with the connection is complete only if the whole request was written
+ * before: an upstream reads a request to its end before it closes the connection in peace, and a
+ * connection that fails while it is written to is closed as silently as one that has ended.
+ *
  * <p>A response that names another request is a late response to an earlier one: it is discarded,
  * and the connection is not reused after that. What may be discarded before a response is limited.
  * Data that arrives without an open request closes the connection. Used by the event loop only.
@@ -40,7 +45,12 @@
     private Channel mChannel;
     private ResponseListener mListener;
     private RequestId mRequestId;
+    private boolean mRequestWritten;
     private boolean mInResponse;
+
+    /** Whether the end of the connection is the end of the response's body. */
+    private boolean mEndsWithConnection;
+
     private boolean mDiscarding;
     private int mDiscardedResponses;
     private long mDiscardedBytes;
@@ -81,6 +91,7 @@
             ResponseListener listener) {
         mListener = listener;
         mRequestId = id;
+        mRequestWritten = false;
         mInResponse = false;
         mDiscardedResponses = 0;
         mDiscardedBytes = 0;
@@ -96,7 +107,19 @@
                         body.retainedDuplicate(),
                         headers,
                         EmptyHttpHeaders.INSTANCE);
-        mChannel.writeAndFlush(request);
+        mChannel.writeAndFlush(request).addListener(f -> onWritten(listener, f));
+    }
+
+    /** Handles the end of the write of the request that {@code listener} has sent. */
+    private void onWritten(ResponseListener listener, Future<?> write) {
+        if (mListener != listener) {
+            return;
+        }
+        if (write.isSuccess()) {
+            mRequestWritten = true;
+        } else {
+            fail(SendFailure.BROKEN, "request could not be written: " + write.cause());
+        }
     }
 
     /** Cancels the request and closes the connection; the listener is not called any more. */
@@ -147,6 +170,7 @@
             return;
         }
         mInResponse = true;
+        mEndsWithConnection = mDecoder.endsWithConnection(response);
         mReusable &= !head.closesConnection();
         mKeepAliveSeconds = head.keepAliveSeconds().orElse(Integer.MAX_VALUE);
         mListener.onHead(response, head);
@@ -166,7 +190,12 @@
         if (content.content().isReadable()) {
             mListener.onContent(content.content().retain());
         }
-        if (last && mListener != null) {
+        if (!last || mListener == null) {
+            return;
+        }
+        if (mEndsWithConnection && !mRequestWritten) {
+            fail(SendFailure.BROKEN, "connection closed before the request was written");
+        } else {
             end();
         }
     }
