A configuration without any key left admits nobody

Whether keys are needed was inferred from whether any key exists.

Ruled out: a late configuration (the version without keys was in force) and public routes.

--- a/core/src/main/java/org/catkinproxy/serving/ServingConfig.java
+++ b/core/src/main/java/org/catkinproxy/serving/ServingConfig.java
@@ -17,7 +17,9 @@
  * @param routes the routes of requests
  * @param services the services by id
  * @param limits the limits for requests of callers
- * @param accessByApiKey the access that each API key grants, empty if no keys are needed
+ * @param requiresApiKey whether requests need an API key on routes that are not public, also while
+ *     no key is valid
+ * @param accessByApiKey the access that each valid API key grants
  * @param promptStores the stores in which engines save prompts for each other
  */
 public record ServingConfig(
@@ -25,6 +27,7 @@
         RouteTable routes,
         Map<ServiceId, UpstreamService> services,
         RequestLimits limits,
+        boolean requiresApiKey,
         Map<String, WorkspaceAccess> accessByApiKey,
         List<PromptStore> promptStores) {
     /** Validates and copies the components. */
@@ -36,11 +39,6 @@
         promptStores = List.copyOf(promptStores);
     }
 
-    /** Returns whether requests need an API key on routes that are not public. */
-    public boolean requiresApiKey() {
-        return !accessByApiKey.isEmpty();
-    }
-
     /** Returns the access that {@code key} grants, empty if the key is unknown. */
     public Optional<WorkspaceAccess> findAccess(String key) {
         return Optional.ofNullable(accessByApiKey.get(key));
