Accept while stopping only what ends before the process

Streams were accepted for 3.3 s, where only those of the first 3 s may be cut at the end.

StopPolicy decides by the timeout of a request, at which it has a response in any case: it is accepted in the first 2.9 s, or if that comes 0.3 s before the latest end. Once the end is decided nothing is accepted.

Ruled out: the platform's SIGKILL, as the process ended by itself.

--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/serving/StopPolicy.java
@@ -0,0 +1,59 @@
+package org.catkinproxy.serving;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
+
+/**
+ * Decides which requests a stopping instance still accepts, and when it ends.
+ *
+ * <p>A request is accepted if its timeout, at which it has a response in any case, comes before the
+ * instance ends. At the beginning of the stop all requests are accepted, since few last so long and
+ * their callers have not yet looked up other instances. Immutable and thread-safe.
+ *
+ * @param grace the time from the beginning of the stop until the platform kills the instance
+ */
+public record StopPolicy(Duration grace) {
+    /** Time from the beginning of the stop in which all requests are accepted. */
+    private static final Duration ACCEPT_ALL = Duration.ofMillis(2_900);
+
+    /** Minimum duration of the stop, in which most callers look up the other instances. */
+    private static final Duration MIN_DRAIN = Duration.ofMillis(3_100);
+
+    /** Time by which the instance ends before the platform would kill it. */
+    private static final Duration KILL_MARGIN = Duration.ofMillis(400);
+
+    /** Time in which a response is made and written, after a request's timeout at the latest. */
+    private static final Duration RESPONSE_MARGIN = Duration.ofMillis(300);
+
+    /** Checks that the grace period is not negative. */
+    public StopPolicy {
+        checkNotNull(grace, "grace");
+    }
+
+    /**
+     * Returns whether a request is accepted.
+     *
+     * @param elapsed the time since the beginning of the stop
+     * @param timeout the time until the request has a response in any case
+     */
+    public boolean accepts(Duration elapsed, Duration timeout) {
+        Duration latestResponse = elapsed.plus(timeout).plus(RESPONSE_MARGIN);
+        return elapsed.compareTo(ACCEPT_ALL) < 0 || latestResponse.compareTo(endsAfter()) <= 0;
+    }
+
+    /**
+     * Returns whether the instance ends.
+     *
+     * @param elapsed the time since the beginning of the stop
+     * @param openRequests the number of requests without a complete response
+     */
+    public boolean ends(Duration elapsed, int openRequests) {
+        boolean isDrained = elapsed.compareTo(MIN_DRAIN) >= 0 && openRequests == 0;
+        return isDrained || elapsed.compareTo(endsAfter()) >= 0;
+    }
+
+    private Duration endsAfter() {
+        return grace.minus(KILL_MARGIN);
+    }
+}
--- a/gateway/src/main/java/org/catkinproxy/gateway/Admission.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Admission.java
@@ -39,7 +39,6 @@
                                                 "the configuration has not been loaded yet"));
         Route route = route(config, request);
         Optional<WorkspaceAccess> access = access(config, route, head);
-        gateway.checkAccepts(route.kind());
         AdmittedRequest admitted =
                 new AdmittedRequest(
                         head,
@@ -49,6 +48,7 @@
                         body,
                         route,
                         access);
+        gateway.checkAccepts(admitted);
         return new Exchange(gateway, connection, admitted);
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -3,7 +3,6 @@
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.id.ServiceId;
 import org.catkinproxy.serving.BufferBudget;
-import org.catkinproxy.serving.CallKind;
 import org.catkinproxy.serving.DesiredVersions;
 import org.catkinproxy.serving.EngineLimits;
 import org.catkinproxy.serving.FleetIntervals;
@@ -310,8 +309,8 @@
      *
      * @throws CatkinException if the request has to go to another instance
      */
-    void checkAccepts(CallKind kind) {
-        mStopSequence.checkAccepts(kind);
+    void checkAccepts(AdmittedRequest request) {
+        mStopSequence.checkAccepts(Duration.ofNanos(request.timeoutNanos()));
     }
 
     /** Logs a request that was refused at admission. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
@@ -3,7 +3,7 @@
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.error.ErrorCode;
 import org.catkinproxy.error.Step;
-import org.catkinproxy.serving.CallKind;
+import org.catkinproxy.serving.StopPolicy;
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -13,34 +13,25 @@
  *
  * <p>The instance first reports that it is not ready and is no longer returned to callers.
  * Responses sent from then on close their connections, and idle connections are closed. Callers
- * that looked up the instance before the stop may still connect: streams are accepted only at the
- * beginning, all other requests until the end. The process ends after its last request, or shortly
- * before the grace period ends. Used by the event loop only.
+ * that looked up the instance before the stop may still connect: their requests are accepted as
+ * long as they can end before the process does. The process ends after its last request, or shortly
+ * before the grace period ends, and accepts nothing any more once that is decided. Used by the
+ * event loop only.
  */
 final class StopSequence {
     private static final long CLOSE_IDLE_DELAY_MILLIS = 200;
 
-    /**
-     * Time from the start of the stop after which streams are refused, since they might not end.
-     */
-    private static final long ACCEPT_STREAMS_MILLIS = 3_300;
-
-    /** Minimum duration of the stop, in which most callers look up the other instances. */
-    private static final long MIN_DRAIN_MILLIS = 3_100;
-
     private static final long POLL_MILLIS = 100;
 
-    /** Time by which the process ends before the platform would kill it. */
-    private static final long KILL_MARGIN_MILLIS = 400;
-
     private final Gateway mGateway;
-    private final Duration mGrace;
+    private final StopPolicy mPolicy;
     private boolean mBegun;
     private long mBegunAt;
+    private boolean mEnding;
 
     StopSequence(Gateway gateway, Duration grace) {
         mGateway = gateway;
-        mGrace = grace;
+        mPolicy = new StopPolicy(grace);
     }
 
     boolean hasBegun() {
@@ -64,35 +55,36 @@
     }
 
     /**
-     * Refuses a request that might not end within the grace period.
+     * Refuses a request that might not end before the process does.
      *
+     * @param timeout the time until the request has a response in any case
      * @throws CatkinException if the request has to go to another instance
      */
-    void checkAccepts(CallKind kind) {
-        if (mBegun && kind == CallKind.STREAM && elapsedMillis() >= ACCEPT_STREAMS_MILLIS) {
+    void checkAccepts(Duration timeout) {
+        if (mBegun && (mEnding || !mPolicy.accepts(elapsed(), timeout))) {
             throw CatkinException.notRun(
                     ErrorCode.STOPPING,
                     Step.STOP,
                     CatkinException.NO_PEER,
-                    "instance is stopping and accepts no new streams");
+                    "instance is stopping and might end before the request");
         }
     }
 
-    private long elapsedMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(mGateway.now() - mBegunAt);
+    private Duration elapsed() {
+        return Duration.ofNanos(mGateway.now() - mBegunAt);
     }
 
     private void checkDrained(Runnable onStopped) {
-        long elapsed = elapsedMillis();
-        boolean done = elapsed >= MIN_DRAIN_MILLIS && mGateway.openRequests() == 0;
-        if (done || elapsed >= mGrace.toMillis() - KILL_MARGIN_MILLIS) {
-            mGateway.log().record(GatewayEvent.STOPPED, "open_requests", mGateway.openRequests());
-            mGateway.stopListening();
-            mGateway.closeIdleConnections();
-            mGateway.log().flush();
-            mGateway.loop().schedule(onStopped, POLL_MILLIS, TimeUnit.MILLISECONDS);
+        if (!mPolicy.ends(elapsed(), mGateway.openRequests())) {
+            mGateway.loop()
+                    .schedule(() -> checkDrained(onStopped), POLL_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        mGateway.loop().schedule(() -> checkDrained(onStopped), POLL_MILLIS, TimeUnit.MILLISECONDS);
+        mEnding = true;
+        mGateway.log().record(GatewayEvent.STOPPED, "open_requests", mGateway.openRequests());
+        mGateway.stopListening();
+        mGateway.closeIdleConnections();
+        mGateway.log().flush();
+        mGateway.loop().schedule(onStopped, POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
 }
