An error of the next engine breaks a begun stream off at once

After a stream had broken off, the next engine's error was forwarded like the response to a new request.

A complete response to a resumed stream is a failed attempt now.

Evidence: StreamFailoverTest.errorOfNextEngineIsNoPartOfBegunStream failed on the code before, after 15 s with 'answered' in the log, and passes now. Ruled out: bytes of the error within the stream, which the test also checks.

--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -630,6 +630,11 @@
                     attempt,
                     SendFailure.GARBLED,
                     "response has a content encoding or lacks the signature or request id");
+        } else if (mStreaming) {
+            onAttemptFailed(
+                    attempt,
+                    SendFailure.ERROR_ANSWER,
+                    "upstream responded to a resumed stream with status " + status);
         } else if (isServerError(status) && tryChargeRetryElsewhere(attempt)) {
             onAttemptFailed(
                     attempt, SendFailure.ERROR_ANSWER, "upstream responded with status " + status);
