Resume a stream from a backup only after its first event

A broken stream was sent on to the engine that was to hold the backup of its KV cache, also before its first event, when nothing shows that a backup exists; the receiver was trusted to refuse.

Ruled out in the code: a send that counted as never connected, and the retry after a wait, which takes 120 ms.

--- a/core/src/main/java/org/catkinproxy/serving/RetryPolicy.java
+++ b/core/src/main/java/org/catkinproxy/serving/RetryPolicy.java
@@ -20,11 +20,17 @@
      * cache. The stream continues the same execution, so it uses no further attempt. An engine
      * without the backup rejects the request.
      *
+     * @param hasBegun whether an event of the stream was delivered; before that nothing shows how
+     *     far the execution has come, and another engine might begin a second one
      * @param leftNanos the time until the caller's deadline, in ns
      */
-    public static boolean mayResumeFromBackup(Route route, SendFailure failure, long leftNanos) {
+    public static boolean mayResumeFromBackup(
+            Route route, SendFailure failure, boolean hasBegun, long leftNanos) {
         boolean isBroken = failure == SendFailure.BROKEN || failure == SendFailure.SILENT;
-        return isBroken && route.kind() == CallKind.STREAM && hasTimeLeft(route, leftNanos);
+        return hasBegun
+                && isBroken
+                && route.kind() == CallKind.STREAM
+                && hasTimeLeft(route, leftNanos);
     }
 
     /**
--- a/core/src/test/java/org/catkinproxy/serving/RetryPolicyTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/RetryPolicyTest.java
@@ -42,6 +42,18 @@
                 .isTrue();
     }
 
+    @Example
+    void onlyBegunStreamResumesFromBackup() {
+        Route stream = Samples.route(CallKind.STREAM, false, 1);
+        for (SendFailure failure : SendFailure.values()) {
+            boolean isBroken = failure == SendFailure.BROKEN || failure == SendFailure.SILENT;
+            assertThat(RetryPolicy.mayResumeFromBackup(stream, failure, true, AMPLE_TIME_NANOS))
+                    .isEqualTo(isBroken);
+            assertThat(RetryPolicy.mayResumeFromBackup(stream, failure, false, AMPLE_TIME_NANOS))
+                    .isFalse();
+        }
+    }
+
     @Example
     void requestIsNotRetriedCloseToItsDeadline() {
         Route route = Samples.route(CallKind.IDEMPOTENT, false, 3);
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -275,10 +275,10 @@
     }
 
     private void startAttempt(UpstreamChooser.Choice choice) {
-        OptionalLong lastEventId = mEventSplitter.lastEventId();
-        if (lastEventId.isEmpty()) {
-            lastEventId = mResumesFromBackup ? OptionalLong.of(0) : mRequest.head().lastEventId();
-        }
+        OptionalLong lastEventId =
+                mEventSplitter.lastEventId().isPresent()
+                        ? mEventSplitter.lastEventId()
+                        : mRequest.head().lastEventId();
         mHistory.recordAttempt();
         mLog.placed(choice);
         mAttempt =
@@ -323,7 +323,8 @@
             mResumesFromBackup = true;
             mEventSplitter.discardPartialEvent();
             mLog.resumed(
-                    backup.get().target().upstream().id(), mEventSplitter.lastEventId().orElse(0));
+                    backup.get().target().upstream().id(),
+                    mEventSplitter.lastEventId().orElseThrow());
             startAttempt(backup.get());
         } else if (mHistory.tryRetry(failure, mDeadline - now)) {
             mHistory.recordTried(attempt.upstream());
@@ -407,7 +408,9 @@
                         && mBackupEnabled
                         && attempt.isSent()
                         && !haveWeightsChanged(attempt);
-        if (!enabled || !RetryPolicy.mayResumeFromBackup(route(), failure, mDeadline - now)) {
+        boolean hasBegun = mEventSplitter.lastEventId().isPresent();
+        if (!enabled
+                || !RetryPolicy.mayResumeFromBackup(route(), failure, hasBegun, mDeadline - now)) {
             return Optional.empty();
         }
         return attempt.backup()
