A late copy of a rejection is never taken for another one

A rejection may name no request; and one that does bears the right id for a request that returns to the same upstream.

A connection is used again only after a response that names its request, and a request that returns to an upstream gets a new connection.

--- a/gateway/src/main/java/org/catkinproxy/gateway/AttemptHistory.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/AttemptHistory.java
@@ -22,6 +22,7 @@
     private final Route mRoute;
     private final SharedRetryBudget mBudget;
     private final Set<InstanceId> mTried = new HashSet<>();
+    private final Set<InstanceId> mSentTo = new HashSet<>();
     private int mAttempts;
     private int mPossibleRuns;
     private int mRejections;
@@ -46,6 +47,18 @@
         }
     }
 
+    void recordSentTo(Upstream upstream) {
+        mSentTo.add(upstream.id());
+    }
+
+    /**
+     * Returns whether the upstream got the request before. On the connection of that attempt a late
+     * copy of its response would be taken for the response to another one.
+     */
+    boolean wasSentTo(Upstream upstream) {
+        return mSentTo.contains(upstream.id());
+    }
+
     /** Returns the number of attempts that were started. */
     int attempts() {
         return mAttempts;
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -287,8 +287,11 @@
                         mRequest,
                         mPlacementRequest,
                         choice,
-                        new UpstreamAttempt.ResumePoint(lastEventId, mResumesFromBackup),
-                        mBackupEnabled,
+                        new UpstreamAttempt.SendOptions(
+                                lastEventId,
+                                mResumesFromBackup,
+                                mBackupEnabled,
+                                mHistory.wasSentTo(choice.target().upstream())),
                         mEventSplitter,
                         mDeadline,
                         this);
@@ -308,6 +311,9 @@
         long now = mGateway.now();
         attempt.close();
         mAttempt = null;
+        if (attempt.isSent()) {
+            mHistory.recordSentTo(attempt.upstream());
+        }
         recordFailure(attempt, failure, now);
         mLog.sendFailed(attempt, failure, reason, now);
         if (mCallerGone) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -60,19 +60,24 @@
     }
 
     /**
-     * The point at which an attempt resumes a stream.
+     * How a request is sent.
      *
      * @param lastEventId the id of the last event that was delivered, empty for a new stream
-     * @param fromBackup whether the engine has a backup of the run's KV cache
+     * @param resumesFromBackup whether the engine has a backup of the run's KV cache
+     * @param keepsBackup whether a backup engine receives the run's KV cache as it grows
+     * @param usesNewConnection whether the request must not use a connection of an earlier request
      */
-    record ResumePoint(OptionalLong lastEventId, boolean fromBackup) {}
+    record SendOptions(
+            OptionalLong lastEventId,
+            boolean resumesFromBackup,
+            boolean keepsBackup,
+            boolean usesNewConnection) {}
 
     private final Gateway mGateway;
     private final AdmittedRequest mRequest;
     private final Optional<UpstreamChooser.PlacementRequest> mPlacementRequest;
     private final UpstreamChooser.Choice mChoice;
-    private final ResumePoint mResumePoint;
-    private final boolean mBackupEnabled;
+    private final SendOptions mOptions;
     private final ServerSentEventSplitter mEventSplitter;
     private final Listener mListener;
     private final long mDeadline;
@@ -100,7 +105,6 @@
     /**
      * Creates an attempt, which {@link #start} starts.
      *
-     * @param backupEnabled whether a backup engine receives the run's KV cache as it grows
      * @param deadline the deadline of the request, in ns of the monotonic clock
      */
     UpstreamAttempt(
@@ -108,8 +112,7 @@
             AdmittedRequest request,
             Optional<UpstreamChooser.PlacementRequest> placementRequest,
             UpstreamChooser.Choice choice,
-            ResumePoint resumePoint,
-            boolean backupEnabled,
+            SendOptions options,
             ServerSentEventSplitter eventSplitter,
             long deadline,
             Listener listener) {
@@ -117,8 +120,7 @@
         mRequest = request;
         mPlacementRequest = placementRequest;
         mChoice = choice;
-        mResumePoint = resumePoint;
-        mBackupEnabled = backupEnabled;
+        mOptions = options;
         mEventSplitter = eventSplitter;
         mDeadline = deadline;
         mListener = listener;
@@ -132,7 +134,11 @@
     void start() {
         upstreamState().recordSent(mChoice.uncachedTokens());
         mGateway.limitGuard().recordSent(upstream());
-        mGateway.connectionPool().acquire(upstream(), this);
+        if (mOptions.usesNewConnection()) {
+            mGateway.connectionPool().connect(upstream(), this);
+        } else {
+            mGateway.connectionPool().acquire(upstream(), this);
+        }
     }
 
     Upstream upstream() {
@@ -145,7 +151,7 @@
 
     /** Returns the engine that receives a backup of the run's KV cache, empty for none. */
     Optional<Upstream> backup() {
-        return mChoice.backup().filter(b -> mBackupEnabled);
+        return mChoice.backup().filter(b -> mOptions.keepsBackup());
     }
 
     int weightsVersion() {
@@ -229,7 +235,7 @@
                         mPlacementRequest.isPresent()
                                 ? OptionalInt.of(mRequest.priority())
                                 : OptionalInt.empty(),
-                        mResumePoint.lastEventId(),
+                        mOptions.lastEventId(),
                         mPlacementRequest.map(this::engineMetadata));
         return mGateway.headerCodec().writeRequest(mRequest.headers(), metadata);
     }
@@ -242,7 +248,7 @@
                 mChoice.fetchFrom(),
                 mChoice.saveTo(),
                 backup(),
-                mResumePoint.fromBackup());
+                mOptions.resumesFromBackup());
     }
 
     private void recordSentPrompt(UpstreamChooser.PlacementRequest placementRequest) {
@@ -404,7 +410,7 @@
         if (mFirstOutputAt != 0
                 && !mGenerationRecorded
                 && mPlacementRequest.isPresent()
-                && mResumePoint.lastEventId().isEmpty()) {
+                && mOptions.lastEventId().isEmpty()) {
             mGenerationRecorded = true;
             upstreamState()
                     .recordGeneration(
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnection.java
@@ -29,8 +29,10 @@
  * connection that fails while it is written to is closed as silently as one that has ended.
  *
  * <p>A response that names another request is a late response to an earlier one: it is discarded,
- * and the connection is not reused after that. What may be discarded before a response is limited.
- * Data that arrives without an open request closes the connection. Used by the event loop only.
+ * and the connection is not reused after that. A response that names no request cannot be told from
+ * a late copy of itself, so the connection is not reused after it either. What may be discarded
+ * before a response is limited. Data that arrives without an open request closes the connection.
+ * Used by the event loop only.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     /** Limit for the bodies of discarded responses to earlier requests, before a response. */
@@ -171,7 +173,7 @@
         }
         mInResponse = true;
         mEndsWithConnection = mDecoder.endsWithConnection(response);
-        mReusable &= !head.closesConnection();
+        mReusable &= !head.closesConnection() && head.requestId().isPresent();
         mKeepAliveSeconds = head.keepAliveSeconds().orElse(Integer.MAX_VALUE);
         mListener.onHead(response, head);
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnectionPool.java
@@ -64,13 +64,14 @@
             }
             last.connection().channel().close();
         }
-        connect(upstream, address, listener);
+        connect(upstream, listener);
     }
 
-    private void connect(Upstream upstream, String address, AcquireListener listener) {
+    /** Opens a new connection, which no earlier request has used. */
+    void connect(Upstream upstream, AcquireListener listener) {
         StrictResponseDecoder decoder = new StrictResponseDecoder();
         UpstreamConnection connection = new UpstreamConnection(mHeaderCodec, this, decoder);
-        mAddresses.put(connection, address);
+        mAddresses.put(connection, address(upstream));
         new Bootstrap()
                 .group(mLoop)
                 .channel(NioSocketChannel.class)
