Reject a peer message whose number has no end

In a process the error was logged and the datagram ignored, so callers saw nothing.

The decoder reports it like a message that is cut short.

--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessageCodec.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessageCodec.java
@@ -148,7 +148,8 @@
     static PeerMessage decode(byte[] bytes) {
         try {
             return decode(new TCompactProtocol(new TMemoryInputTransport(bytes)));
-        } catch (TTransportException e) {
+        } catch (TTransportException | IndexOutOfBoundsException e) {
+            // Numbers are read from the array without a check for its end.
             throw new IllegalArgumentException("peer message is truncated", e);
         } catch (TException e) {
             throw new IllegalArgumentException("peer message is malformed", e);
--- a/gateway/src/test/java/org/catkinproxy/gateway/PeerMessageCodecTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/PeerMessageCodecTest.java
@@ -7,6 +7,8 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
 
 import org.catkinproxy.id.Incarnation;
 import org.catkinproxy.id.InstanceId;
@@ -127,4 +129,23 @@
     void anyBytesAreDecodedOrRejected(@ForAll byte[] bytes) {
         isDecodable(bytes);
     }
+
+    /** Guards against a length of which every byte says that another one follows. */
+    @Example
+    void numberWithoutEndIsRejected() {
+        assertThat(isDecodable(new byte[] {2, -1, -1, -1, -1, -1})).isFalse();
+    }
+
+    /** The messages with some bytes changed, which reach all fields. */
+    @Property(tries = 20_000, seed = "20261205")
+    void changedMessageIsDecodedOrRejected(
+            @ForAll @IntRange(max = 4) int sample,
+            @ForAll @Size(min = 1, max = 4) List<@IntRange(max = 511) Integer> positions,
+            @ForAll byte value) {
+        byte[] bytes = PeerMessageCodec.encode(SAMPLES.get(sample));
+        for (int position : positions) {
+            bytes[1 + position % (bytes.length - 1)] = value;
+        }
+        isDecodable(bytes);
+    }
 }
