A peer's outage keeps removed upstreams only until the store has answered

Entries also expire in an outage of the store that an open poll spans unnoticed, so each report of a peer restarted the time for which missing entries are kept.

A report now leaves it in doubt whether the store had an outage, until the store has answered a call that this instance made after it: at once, and once a second while reports go on. After that answer missing entries are kept for 0.75 of the drain time, and removals count again.

Ruled out: a late feed.

--- a/core/src/main/java/org/catkinproxy/serving/UpstreamRegistry.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamRegistry.java
@@ -2,6 +2,7 @@
 
 import org.catkinproxy.id.InstanceId;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -11,53 +12,49 @@
 /**
  * The upstreams in the platform's registry, including entries that expired in a store outage.
  *
- * <p>While the platform's store is unavailable, entries expire although their processes run. An
- * entry that disappears during an outage, or within a grace period after it, is retained until the
- * grace period has passed; an entry that is still missing then is dropped. Times are in nanoseconds
- * of the owner's monotonic clock. Not thread-safe.
+ * <p>An entry that disappears while it may have expired in an outage is retained until the grace
+ * period after the outage has passed; an entry that is still missing then is dropped. Times are in
+ * nanoseconds of the owner's monotonic clock. Not thread-safe.
  */
 public final class UpstreamRegistry {
-    private final long mGracePeriodNanos;
+    private final StoreAvailability mStore;
     private final Map<InstanceId, Upstream> mListed = new HashMap<>();
 
     /** Entries that are missing from the registry but retained. */
     private final Map<InstanceId, Upstream> mRetained = new HashMap<>();
 
-    private boolean mStoreAvailable;
-    private long mStoreAvailableSince;
-    private boolean mHadOutage;
-
-    private UpstreamRegistry(long gracePeriodNanos) {
-        mGracePeriodNanos = gracePeriodNanos;
+    private UpstreamRegistry(StoreAvailability store) {
+        mStore = store;
     }
 
     /**
      * Returns an empty registry.
      *
-     * @param gracePeriodNanos how long missing entries are retained after a store outage, in ns
+     * @param outageGrace how long missing entries are retained after a store outage
+     * @param peerOutageGrace how long they are retained after the store has answered this instance
+     *     while a peer could not reach it
      */
-    public static UpstreamRegistry create(long gracePeriodNanos) {
-        return new UpstreamRegistry(gracePeriodNanos);
+    public static UpstreamRegistry create(Duration outageGrace, Duration peerOutageGrace) {
+        return new UpstreamRegistry(new StoreAvailability(outageGrace, peerOutageGrace));
     }
 
     /** Records that the store answers at {@code now}. */
     public void onStoreAvailable(long now) {
-        if (!mStoreAvailable) {
-            mStoreAvailable = true;
-            mStoreAvailableSince = now;
-        }
+        mStore.onAvailable(now);
     }
 
     /** Records that the store does not answer. */
     public void onStoreUnavailable() {
-        mStoreAvailable = false;
-        mHadOutage = true;
+        mStore.onUnavailable();
     }
 
-    /** Records that the store does not answer another instance, so that entries may expire. */
-    public void onPeerStoreOutage(long now) {
-        mHadOutage = true;
-        mStoreAvailableSince = now;
+    /**
+     * Records that the store does not answer another instance, so that entries may expire.
+     *
+     * @return whether this instance should call the store now, to check whether it answers
+     */
+    public boolean onPeerStoreOutage(long now) {
+        return mStore.onPeerOutage(now);
     }
 
     /** Adds an entry of the platform's registry or replaces the one with the same id. */
@@ -68,12 +65,11 @@
 
     /**
      * Removes an entry that is missing from the platform's registry. The entry is retained instead
-     * if the store is unavailable or the grace period is not over, and the upstream is not
-     * draining.
+     * if it may have expired in an outage of the store and the upstream is not draining.
      */
     public void remove(InstanceId id, long now) {
         Upstream last = mListed.remove(id);
-        if (last != null && !last.draining() && isGracePeriodActive(now)) {
+        if (last != null && !last.draining() && mStore.mayHaveExpired(now)) {
             mRetained.put(id, last);
         }
     }
@@ -86,9 +82,12 @@
         upstreams.forEach(this::put);
     }
 
-    /** Drops the retained entries if the grace period is over; returns whether there were any. */
+    /**
+     * Drops the retained entries unless they may have expired in an outage; returns whether there
+     * were any.
+     */
     public boolean expire(long now) {
-        if (mRetained.isEmpty() || isGracePeriodActive(now)) {
+        if (mRetained.isEmpty() || mStore.mayHaveExpired(now)) {
             return false;
         }
         mRetained.clear();
@@ -107,8 +106,4 @@
         all.putAll(mListed);
         return all.values().iterator();
     }
-
-    private boolean isGracePeriodActive(long now) {
-        return !mStoreAvailable || (mHadOutage && now - mStoreAvailableSince < mGracePeriodNanos);
-    }
 }
--- a/core/src/test/java/org/catkinproxy/serving/UpstreamRegistryTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/UpstreamRegistryTest.java
@@ -6,15 +6,17 @@
 
 import org.catkinproxy.id.InstanceId;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
 /** Tests which missing entries are retained after a store outage and which are dropped. */
 class UpstreamRegistryTest {
-    private static final long GRACE_PERIOD_NANOS = 2 * Samples.NANOS_PER_SECOND;
+    private static final InstanceId ID = InstanceId.of("a");
 
-    private final UpstreamRegistry mRegistry = UpstreamRegistry.create(GRACE_PERIOD_NANOS);
+    private final UpstreamRegistry mRegistry =
+            UpstreamRegistry.create(Duration.ofSeconds(2), Duration.ofMillis(1_500));
 
     private List<String> ids() {
         List<String> ids = new ArrayList<>();
@@ -68,4 +70,73 @@
 
         assertThat(ids()).isEmpty();
     }
+
+    private static long millis(long millis) {
+        return millis * Samples.NANOS_PER_MILLI;
+    }
+
+    /** Lets a peer report an outage for a while; the store answers this instance at once. */
+    private void reportPeerOutage(long fromMillis, long toMillis) {
+        for (long at = fromMillis; at < toMillis; at += 150) {
+            if (mRegistry.onPeerStoreOutage(millis(at))) {
+                mRegistry.onStoreAvailable(millis(at + 5));
+            }
+            mRegistry.expire(millis(at));
+        }
+    }
+
+    /** Guards against using upstreams that left for as long as one peer is cut from the store. */
+    @Example
+    void entryRemovedWhileOnlyPeerHasOutageIsDroppedAtOnce() {
+        mRegistry.onStoreAvailable(0);
+        mRegistry.put(Samples.upstreamWithoutWeights("a"));
+        reportPeerOutage(4_000, 9_000);
+        mRegistry.remove(ID, millis(9_000));
+
+        assertThat(ids()).isEmpty();
+    }
+
+    @Example
+    void entryRemovedAsPeerReportsOutageIsDroppedAfterShortGrace() {
+        mRegistry.onStoreAvailable(0);
+        mRegistry.put(Samples.upstreamWithoutWeights("a"));
+        assertThat(mRegistry.onPeerStoreOutage(millis(4_000))).isTrue();
+        mRegistry.remove(ID, millis(4_050));
+        assertThat(ids()).containsExactly("a");
+
+        mRegistry.onStoreAvailable(millis(4_100));
+        reportPeerOutage(4_150, 5_550);
+        assertThat(ids()).containsExactly("a");
+        reportPeerOutage(5_550, 5_750);
+        assertThat(ids()).isEmpty();
+    }
+
+    /** The open poll of this instance spans the outage, and its peers notice it. */
+    @Example
+    void entryLostInOutageThatOnlyPeersNoticedIsKept() {
+        mRegistry.onStoreAvailable(0);
+        mRegistry.put(Samples.upstreamWithoutWeights("a"));
+        assertThat(mRegistry.onPeerStoreOutage(millis(4_000))).isTrue();
+        assertThat(mRegistry.onPeerStoreOutage(millis(4_150))).isFalse();
+
+        mRegistry.onStoreAvailable(millis(5_000));
+        mRegistry.remove(ID, millis(5_000));
+        assertThat(mRegistry.expire(millis(6_400))).isFalse();
+        mRegistry.put(Samples.upstreamWithoutWeights("a"));
+        mRegistry.expire(millis(9_000));
+        assertThat(ids()).containsExactly("a");
+    }
+
+    @Example
+    void peerOutageIsInDoubtAgainOnceTheStoreNoLongerAnswers() {
+        mRegistry.onStoreAvailable(0);
+        mRegistry.put(Samples.upstreamWithoutWeights("a"));
+        reportPeerOutage(4_000, 9_000);
+        for (long at = 9_000; at < 12_000; at += 150) {
+            mRegistry.onPeerStoreOutage(millis(at));
+        }
+        mRegistry.remove(ID, millis(12_000));
+
+        assertThat(ids()).containsExactly("a");
+    }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -72,7 +72,7 @@
     private final PeerLoads mPeerLoads = PeerLoads.create();
     private final UpstreamChooser mChooser;
     private final UpstreamConnectionPool mConnectionPool;
-    private final UpstreamTracker mUpstreamTracker = new UpstreamTracker(this);
+    private final UpstreamTracker mUpstreamTracker;
     private final ConfigWatcher mConfigWatcher;
     private final InstanceRegistry mInstanceRegistry;
     private final PeerMessenger mPeerMessenger;
@@ -110,6 +110,7 @@
         mRowReader = rowReader;
         mStore = store;
         mLog = log;
+        mUpstreamTracker = new UpstreamTracker(this, settings.upstreamDrainTime());
         mConfigWatcher = new ConfigWatcher(this, settings.outdatedWeightsGrace());
         mConnectionPool = new UpstreamConnectionPool(loop, headerCodec);
         mInstanceRegistry = new InstanceRegistry(this, store);
@@ -209,7 +210,11 @@
 
     /** Handles a peer's report that the store does not respond to it. */
     void onPeerStoreOutage() {
-        mUpstreamTracker.onPeerStoreOutage();
+        if (mUpstreamTracker.onPeerStoreOutage()) {
+            mWatches.stream()
+                    .filter(watch -> watch.table().equals(mRowReader.upstreamTable()))
+                    .forEach(TableWatch::pollNow);
+        }
     }
 
     private void startHttpServer(InetSocketAddress address, String name) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
@@ -127,8 +127,21 @@
         mCheckScheduled = false;
         if (version > mVersion && poll == mPoll && !poll.isDisposed()) {
             mListener.onBehind(mVersion, version);
-            poll.dispose();
-            mPollsWithoutWait = true;
+            pollNow();
+        }
+    }
+
+    /**
+     * Makes the next poll end without a wait, so that it shows at once whether the store responds.
+     * An open poll that waits is replaced.
+     */
+    public void pollNow() {
+        if (mPollsWithoutWait) {
+            return;
+        }
+        mPollsWithoutWait = true;
+        if (mVersion >= 0 && !mPoll.isDisposed()) {
+            mPoll.dispose();
             poll();
         }
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
@@ -7,6 +7,7 @@
 import org.catkinproxy.serving.UpstreamRegistry;
 import org.catkinproxy.serving.UpstreamState;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -26,16 +27,25 @@
      * Time for which entries that expired during an outage of the store are kept after its end:
      * live upstreams are listed again within two seconds.
      */
-    private static final long RECONNECT_GRACE_NANOS = 2_300_000_000L;
+    private static final Duration RECONNECT_GRACE = Duration.ofMillis(2_300);
+
+    /**
+     * Share of the time in which a draining upstream accepts requests for which a missing entry is
+     * kept if the store answers this instance but not a peer: the upstream may have left.
+     */
+    private static final double PEER_OUTAGE_GRACE_SHARE = 0.75;
 
     private final Gateway mGateway;
-    private final UpstreamRegistry mRegistry = UpstreamRegistry.create(RECONNECT_GRACE_NANOS);
+    private final UpstreamRegistry mRegistry;
     private final Map<ServiceId, Map<InstanceId, UpstreamState>> mStates = new HashMap<>();
     private boolean mConnected;
     private boolean mLoaded;
 
-    UpstreamTracker(Gateway gateway) {
+    UpstreamTracker(Gateway gateway, Duration upstreamDrainTime) {
         mGateway = gateway;
+        long peerOutageGraceNanos = (long) (PEER_OUTAGE_GRACE_SHARE * upstreamDrainTime.toNanos());
+        mRegistry =
+                UpstreamRegistry.create(RECONNECT_GRACE, Duration.ofNanos(peerOutageGraceNanos));
     }
 
     /** Returns whether the table has been read since the start. */
@@ -50,9 +60,11 @@
 
     /**
      * Handles a peer's report that the store does not respond to it; entries may expire meanwhile.
+     *
+     * @return whether the table should be polled now, to check whether the store responds
      */
-    void onPeerStoreOutage() {
-        mRegistry.onPeerStoreOutage(mGateway.now());
+    boolean onPeerStoreOutage() {
+        return mRegistry.onPeerStoreOutage(mGateway.now());
     }
 
     /** Returns the states of a service's upstreams. */
