Send nothing new to upstreams that leave or pause

UpstreamState.acceptsRequests is the one place that says whether new work may go to an upstream: it neither leaves, as listed or by its own word, nor pauses. Leaving holds until a new incarnation, also while the store lists the upstream as ready or lists it again; a pause ends at the latest time that was named, five minutes at most. A request whose connection opens after the notice is not sent. If all upstreams pause, the request waits for a part of its latency target or is refused at once; if all leave, it is refused at once.

--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -486,19 +486,18 @@
 
     /**
      * Returns the available upstreams that may get a request, or if there are none, all that may
-     * and are not draining.
+     * and that accept requests.
      */
     private List<UpstreamState> eligible(
             Collection<UpstreamState> states, Set<InstanceId> excluded, long now) {
         List<UpstreamState> others =
                 states.stream()
                         .filter(s -> !excluded.contains(s.upstream().id()))
+                        .filter(s -> s.acceptsRequests(now))
                         .filter(s -> mPermission.maySend(s.upstream(), now))
                         .toList();
         List<UpstreamState> available = others.stream().filter(s -> s.isAvailable(now)).toList();
-        return available.isEmpty()
-                ? others.stream().filter(s -> !s.upstream().draining()).toList()
-                : available;
+        return available.isEmpty() ? others : available;
     }
 
     /**
--- a/core/src/main/java/org/catkinproxy/serving/UpstreamState.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamState.java
@@ -36,6 +36,9 @@
     private long mLastActivityAt;
     private boolean mHasBeenActive;
     private boolean mRejecting;
+    private boolean mLeaving;
+    private boolean mPaused;
+    private long mPausedUntil;
     private final Map<ModelId, Integer> mObservedVersions = new HashMap<>();
     private final PromptCacheView mPromptCache = new PromptCacheView();
 
@@ -191,13 +194,54 @@
     }
 
     /**
-     * Returns whether the upstream is neither suspect, rejecting nor draining. Requests should go
-     * to available upstreams first.
+     * Records that the upstream said that it leaves, which holds for the rest of its life.
+     *
+     * @return whether it was not known to leave
+     */
+    public boolean recordLeaving() {
+        boolean isNew = !isLeaving();
+        mLeaving = true;
+        return isNew;
+    }
+
+    /** Returns whether the upstream is listed as draining, or has said that it leaves. */
+    public boolean isLeaving() {
+        return mLeaving || mUpstream.draining();
+    }
+
+    /**
+     * Records that the upstream wants no requests until {@code until}, unless it named a later time
+     * before.
+     *
+     * @return whether the time is later than the known one
+     */
+    public boolean pauseUntil(long until) {
+        if (mPaused && mPausedUntil - until >= 0) {
+            return false;
+        }
+        mPaused = true;
+        mPausedUntil = until;
+        return true;
+    }
+
+    /** Returns the time until the upstream wants requests again, in ns, 0 if it does now. */
+    public long pauseNanos(long now) {
+        return mPaused ? Math.max(0, mPausedUntil - now) : 0;
+    }
+
+    /** Returns whether the upstream may get new requests at all: it neither leaves nor pauses. */
+    public boolean acceptsRequests(long now) {
+        return !isLeaving() && pauseNanos(now) == 0;
+    }
+
+    /**
+     * Returns whether the upstream accepts requests and is neither suspect nor rejecting. Requests
+     * should go to available upstreams first.
      */
     public boolean isAvailable(long now) {
         boolean suspect = mSuspect && mSuspectUntil - now > 0;
         boolean rejecting = mRejecting && mRejectingUntil - now > 0;
-        return !suspect && !rejecting && !mUpstream.draining();
+        return !suspect && !rejecting && acceptsRequests(now);
     }
 
     /** Returns the number of this instance's requests in flight at the upstream. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/AttemptHistory.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/AttemptHistory.java
@@ -90,11 +90,11 @@
 
     /**
      * Returns whether the request may be sent to another upstream, and charges the retry. It is
-     * free if the connection failed, since nothing reached the upstream.
+     * free if nothing was sent to this one.
      */
     boolean tryRetry(SendFailure failure, long leftNanos) {
         return RetryPolicy.mayRetry(mRoute, failure, mPossibleRuns, mRejections, leftNanos)
-                && (failure == SendFailure.NOT_CONNECTED || tryCharge());
+                && (!failure.isSent() || tryCharge());
     }
 
     /** Charges a retry to the budget, unless it has been charged in advance. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -208,7 +208,7 @@
         long now = mGateway.now();
         Optional<UpstreamChooser.Choice> choice = choose(now);
         if (choice.isEmpty()) {
-            waitForLimitOrGiveUp(now);
+            waitOrGiveUp(now);
             return;
         }
         AdmissionPolicy.Verdict verdict = decideAdmission(choice.get(), now);
@@ -220,10 +220,10 @@
     }
 
     /**
-     * Places the request again when the limit of an upstream allows it, if that is soon, and
-     * otherwise gives up.
+     * Places the request again when an upstream that pauses or has a limit may get it, if that is
+     * soon, and otherwise gives up.
      */
-    private void waitForLimitOrGiveUp(long now) {
+    private void waitOrGiveUp(long now) {
         OptionalLong waitNanos =
                 mGateway.limitGuard().nanosUntilAllowed(mGateway.upstreamStates(mService));
         if (waitNanos.isEmpty() || mStreaming || mHistory.mayHaveRun()) {
@@ -237,7 +237,7 @@
                             TimeUnit.NANOSECONDS);
         } else {
             long waitMillis = waitNanos.getAsLong() / NANOS_PER_MILLI;
-            refuseForWait(waitMillis, "the limits of all upstreams are used up");
+            refuseForWait(waitMillis, "the limits of all upstreams are used up, or they pause");
         }
     }
 
@@ -455,8 +455,8 @@
                                 ? WEIGHTS_CHANGE_PAUSE_NANOS
                                 : REJECTION_PAUSE_NANOS);
             }
-            case EXPIRED -> {
-                // The upstream is not the cause.
+            case EXPIRED, NOT_ACCEPTING -> {
+                // The upstream has not failed.
             }
             case BROKEN -> {
                 state.recordResponse(false, now);
@@ -514,6 +514,7 @@
     /** Returns whether another upstream that was not tried may get the request. */
     private boolean hasAlternative(UpstreamAttempt attempt, long now) {
         return mGateway.upstreamStates(mService).stream()
+                .filter(s -> s.acceptsRequests(now))
                 .map(UpstreamState::upstream)
                 .filter(u -> !u.id().equals(attempt.upstream().id()))
                 .filter(u -> !mHistory.tried().contains(u.id()))
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -451,6 +451,16 @@
                 .findFirst();
     }
 
+    /** Handles an upstream's notice that it leaves. */
+    void onUpstreamLeaving(UpstreamState state) {
+        mUpstreamTracker.onLeaving(state);
+    }
+
+    /** Handles an upstream's notice that it wants no requests for a time. */
+    void onUpstreamPause(UpstreamState state, RetryAfter retryAfter) {
+        mUpstreamTracker.onPause(state, retryAfter);
+    }
+
     void trackCache(UpstreamState state) {
         int maxEventSubscribers =
                 engineLimits(state.upstream().service())
--- a/gateway/src/main/java/org/catkinproxy/gateway/LimitGuard.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/LimitGuard.java
@@ -114,16 +114,26 @@
     }
 
     /**
-     * Returns the time until one of the upstreams may get a request, in ns, empty if limits keep
-     * this instance from none of them, or from all of them for good.
+     * Returns the time until one of the upstreams may get a request, in ns, empty if neither limits
+     * nor pauses keep this instance from any of them, or limits from all of them for good.
      */
     OptionalLong nanosUntilAllowed(Collection<UpstreamState> upstreams) {
         long now = mGateway.now();
         return upstreams.stream()
-                .map(UpstreamState::upstream)
-                .filter(u -> !u.draining() && !maySend(u, now))
-                .map(u -> mLimits.nanosUntilAllowed(UpstreamStart.of(u), now))
+                .filter(s -> !s.isLeaving())
+                .filter(s -> !s.acceptsRequests(now) || !maySend(s.upstream(), now))
+                .map(s -> nanosUntilAllowed(s, now))
                 .flatMapToLong(OptionalLong::stream)
                 .min();
     }
+
+    private OptionalLong nanosUntilAllowed(UpstreamState state, long now) {
+        OptionalLong limitNanos =
+                maySend(state.upstream(), now)
+                        ? OptionalLong.of(0)
+                        : mLimits.nanosUntilAllowed(UpstreamStart.of(state.upstream()), now);
+        return limitNanos.isEmpty()
+                ? limitNanos
+                : OptionalLong.of(Math.max(limitNanos.getAsLong(), state.pauseNanos(now)));
+    }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/ResponseHead.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ResponseHead.java
@@ -21,6 +21,8 @@
  * @param weightsVersion the version of the engine's weights, empty if not stated
  * @param requestLimit the requests per second that the upstream accepts from all instances
  *     together, empty if it names no limit
+ * @param leaving whether the upstream says that it leaves, and so accepts no new requests
+ * @param retryAfter when the upstream accepts requests again, empty if not stated
  * @param keepAliveSeconds how long the upstream keeps an idle connection, empty if not stated
  * @param closesConnection whether the upstream closes the connection after the response
  */
@@ -33,6 +35,8 @@
         boolean contentEncoded,
         OptionalInt weightsVersion,
         OptionalDouble requestLimit,
+        boolean leaving,
+        Optional<RetryAfter> retryAfter,
         OptionalInt keepAliveSeconds,
         boolean closesConnection) {
     /**
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -212,6 +212,14 @@
                     this, SendFailure.EXPIRED, "too little time left when connected");
             return;
         }
+        if (!upstreamState().acceptsRequests(mGateway.now())) {
+            mGateway.connectionPool().release(connection);
+            mListener.onAttemptFailed(
+                    this,
+                    SendFailure.NOT_ACCEPTING,
+                    "upstream leaves or pauses since the request was placed");
+            return;
+        }
         mConnection = connection;
         mSent = true;
         mPlacementRequest.ifPresent(this::recordSentPrompt);
@@ -279,6 +287,7 @@
         mResponse = response;
         mResponseHead = head;
         head.weightsVersion().ifPresent(this::recordWeightsVersion);
+        recordNotices(head);
         mGateway.limitGuard().onResponse(upstream(), head.requestLimit());
         if (!isEventStream()) {
             mBody = Unpooled.compositeBuffer();
@@ -290,6 +299,16 @@
         }
     }
 
+    /** Records what the upstream says of requests that it wants from now on. */
+    private void recordNotices(ResponseHead head) {
+        if (head.leaving()) {
+            mGateway.onUpstreamLeaving(upstreamState());
+        }
+        if (mResponse.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            head.retryAfter().ifPresent(r -> mGateway.onUpstreamPause(upstreamState(), r));
+        }
+    }
+
     private void recordActivity() {
         mLastActivityAt = mGateway.now();
         upstreamState().recordActivity(mLastActivityAt);
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
@@ -1,17 +1,22 @@
 package org.catkinproxy.gateway;
 
+import com.google.common.collect.Comparators;
+
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.ServiceId;
 import org.catkinproxy.serving.Upstream;
 import org.catkinproxy.serving.UpstreamRegistry;
+import org.catkinproxy.serving.UpstreamStart;
 import org.catkinproxy.serving.UpstreamState;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,9 +40,27 @@
      */
     private static final double PEER_OUTAGE_GRACE_SHARE = 0.75;
 
+    /** Limit for the upstreams that are remembered as leaving. */
+    private static final int MAX_LEAVING = 1_000;
+
+    /** Limit for the time for which an upstream gets no requests; it is asked again after that. */
+    private static final Duration MAX_PAUSE = Duration.ofMinutes(5);
+
     private final Gateway mGateway;
     private final UpstreamRegistry mRegistry;
     private final Map<ServiceId, Map<InstanceId, UpstreamState>> mStates = new HashMap<>();
+
+    /** Upstreams that said that they leave, also while they are not listed; the newest ones. */
+    private final Set<UpstreamStart> mLeaving =
+            Collections.newSetFromMap(
+                    new LinkedHashMap<>() {
+                        @Override
+                        protected boolean removeEldestEntry(
+                                Map.Entry<UpstreamStart, Boolean> eldest) {
+                            return size() > MAX_LEAVING;
+                        }
+                    });
+
     private boolean mConnected;
     private boolean mLoaded;
 
@@ -67,6 +90,39 @@
         return mRegistry.onPeerStoreOutage(mGateway.now());
     }
 
+    /** Records that an upstream said that it leaves, which holds until it starts anew. */
+    void onLeaving(UpstreamState state) {
+        mLeaving.add(UpstreamStart.of(state.upstream()));
+        if (state.recordLeaving()) {
+            mGateway.connectionPool().closeIdle(state.upstream());
+            mGateway.log().record(GatewayEvent.UPSTREAM_LEAVING, "upstream", state.upstream().id());
+        }
+    }
+
+    /** Records that an upstream wants no requests for a time. */
+    void onPause(UpstreamState state, RetryAfter retryAfter) {
+        if (retryAfter.delay().isEmpty()) {
+            mGateway.log()
+                    .record(
+                            GatewayEvent.RETRY_AFTER_UNREADABLE,
+                            "upstream",
+                            state.upstream().id(),
+                            "value",
+                            retryAfter.text());
+            return;
+        }
+        Duration delay = Comparators.min(retryAfter.delay().get(), MAX_PAUSE);
+        if (state.pauseUntil(mGateway.now() + delay.toNanos())) {
+            mGateway.log()
+                    .record(
+                            GatewayEvent.UPSTREAM_PAUSED,
+                            "upstream",
+                            state.upstream().id(),
+                            "pause_ms",
+                            delay.toMillis());
+        }
+    }
+
     /** Returns the states of a service's upstreams. */
     Collection<UpstreamState> states(ServiceId service) {
         return mStates.getOrDefault(service, Map.of()).values();
@@ -226,6 +282,9 @@
         }
         UpstreamState newState = UpstreamState.of(upstream);
         states.put(upstream.id(), newState);
+        if (mLeaving.contains(UpstreamStart.of(upstream))) {
+            newState.recordLeaving();
+        }
         if (!upstream.weightsVersions().isEmpty()) {
             mGateway.trackCache(newState);
         }
@@ -239,7 +298,7 @@
                         "service",
                         upstream.service(),
                         "leaving",
-                        upstream.draining());
+                        newState.isLeaving());
     }
 
     private boolean dropIfUnlisted(UpstreamState state, Set<InstanceId> listed) {
