--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -33,15 +33,6 @@
  * arrive, each once it is complete. Used by the event loop only.
  */
 final class Exchange implements UpstreamAttempt.Listener {
-    /** Time without requests for an upstream that rejected one. */
-    private static final long REJECTION_PAUSE_NANOS = 150_000_000L;
-
-    /**
-     * Time without requests for an engine that rejected one because its weights are outdated: the
-     * engine rejects further requests until it has the new weights.
-     */
-    private static final long WEIGHTS_CHANGE_PAUSE_NANOS = 1_200_000_000L;
-
     /** Delay before a request that was rejected by engines is tried again. */
     private static final long REJECTED_RETRY_DELAY_MILLIS = 120;
 
@@ -64,6 +55,7 @@
     private final long mDeadline;
     private final ServiceId mService;
     private final AttemptHistory mHistory;
+    private final UpstreamFeedback mFeedback;
     private final ServerSentEventSplitter mEventSplitter;
     private final Optional<UpstreamChooser.PlacementRequest> mPlacementRequest;
 
@@ -96,6 +88,7 @@
         mDeadline = mArrivedAt + request.timeoutNanos();
         mService = request.service();
         mHistory = new AttemptHistory(gateway, route(), gateway.retryBudget(mService));
+        mFeedback = new UpstreamFeedback(gateway, request.head().prompt(), mLog);
         mPlacementRequest = request.head().prompt().map(this::placementRequest);
         mBackupEnabled = mPlacementRequest.isPresent() && isUnrepeatableStream();
     }
@@ -314,7 +307,8 @@
         if (attempt.isSent()) {
             mHistory.recordSentTo(attempt.upstream());
         }
-        recordFailure(attempt, failure, now);
+        mHistory.recordFailure(failure);
+        mFeedback.recordFailure(attempt, failure, now);
         mLog.sendFailed(attempt, failure, reason, now);
         if (mCallerGone) {
             finish("caller_gone");
@@ -439,41 +433,6 @@
         return mEventSplitter.hasWeightsVersionChanged() || version != attempt.weightsVersion();
     }
 
-    private void recordFailure(UpstreamAttempt attempt, SendFailure failure, long now) {
-        mHistory.recordFailure(failure);
-        UpstreamState state = attempt.upstreamState();
-        switch (failure) {
-            case NOT_CONNECTED, SILENT -> {
-                state.markUnreachable(now);
-                mGateway.connectionPool().closeIdle(state.upstream());
-                mLog.upstreamSuspect(state.upstream().id(), failure);
-            }
-            case REJECTED -> {
-                state.markRejecting(
-                        now,
-                        hasOutdatedWeights(state)
-                                ? WEIGHTS_CHANGE_PAUSE_NANOS
-                                : REJECTION_PAUSE_NANOS);
-            }
-            case EXPIRED, NOT_ACCEPTING -> {
-                // The upstream has not failed.
-            }
-            case BROKEN -> {
-                state.recordResponse(false, now);
-                attempt.recordPromptFailure();
-            }
-            case GARBLED, ERROR_ANSWER -> state.recordResponse(false, now);
-            default -> throw new AssertionError(failure);
-        }
-    }
-
-    private boolean hasOutdatedWeights(UpstreamState state) {
-        return mRequest.head()
-                .prompt()
-                .filter(p -> state.knownVersion(p) < mGateway.desiredVersions().newest(p.model()))
-                .isPresent();
-    }
-
     private void armTimer(long at) {
         if (mTimer != null) {
             mTimer.cancel(false);
@@ -630,7 +589,7 @@
         int status = attempt.response().status().code();
         ResponseHead head = attempt.responseHead();
         if (head.misdirected()) {
-            recordMisdirected(attempt);
+            mFeedback.recordMisdirected(attempt, mGateway.now());
         }
         if (head.notRun() || head.misdirected()) {
             onAttemptFailed(
@@ -653,19 +612,6 @@
         }
     }
 
-    /** Records that another process has the address, or that the engine has newer weights. */
-    private void recordMisdirected(UpstreamAttempt attempt) {
-        ResponseHead head = attempt.responseHead();
-        if (head.instance().filter(i -> !i.equals(attempt.upstream().id())).isPresent()) {
-            attempt.upstreamState().markUnreachable(mGateway.now());
-        } else if (head.weightsVersion().isEmpty()) {
-            mRequest.head()
-                    .prompt()
-                    .map(p -> mGateway.desiredVersions().newest(p.model()))
-                    .ifPresent(attempt::recordWeightsVersion);
-        }
-    }
-
     private boolean tryChargeRetryElsewhere(UpstreamAttempt attempt) {
         long now = mGateway.now();
         return !mCallerGone
