Check the store by a short read while peers report an outage

A check reads one row, which leaves the open poll as it is and costs one call in place of two, and is made each 2.5 s: no entry expires in a shorter outage. An outage that a check has met is followed by the longer grace period.

--- a/core/src/main/java/org/catkinproxy/serving/StoreAvailability.java
+++ b/core/src/main/java/org/catkinproxy/serving/StoreAvailability.java
@@ -11,16 +11,16 @@
  * <p>While the store is unavailable, entries expire although their processes run; those are listed
  * again soon after its end. An instance whose open poll spans an outage does not notice it, so
  * peers report theirs. A peer that cannot reach the store may be the only one, though. It is in
- * doubt until the store has answered a call that this instance made after the report; as long as
- * the store answers such calls regularly, reports of peers change nothing. Times are in nanoseconds
- * of the owner's monotonic clock. Not thread-safe.
+ * doubt until the store has answered a check, which is a call that this instance makes after the
+ * report; as long as the store answers checks regularly, reports of peers change nothing. Times are
+ * in nanoseconds of the owner's monotonic clock. Not thread-safe.
  */
 final class StoreAvailability {
     /** Interval of the calls that check the store while peers report an outage. */
-    private static final long CHECK_INTERVAL_NANOS = 1_000_000_000L;
+    private static final long CHECK_INTERVAL_NANOS = 2_500_000_000L;
 
     /** Time for which an answered check holds; no entry expires in a shorter outage. */
-    private static final long CHECK_LIFETIME_NANOS = 2_500_000_000L;
+    private static final long CHECK_LIFETIME_NANOS = 3_000_000_000L;
 
     private final long mOutageGraceNanos;
     private final long mPeerOutageGraceNanos;
@@ -33,6 +33,7 @@
     private boolean mInDoubt;
 
     private boolean mCheckPending;
+    private boolean mCheckFailed;
     private boolean mChecked;
     private long mCheckedAt;
 
@@ -56,19 +57,25 @@
             startGrace(now + mOutageGraceNanos);
         }
         mAvailable = true;
-        if (mCheckPending) {
-            mCheckPending = false;
-            mChecked = true;
-            mCheckedAt = now;
-            endDoubt(now);
-        }
     }
 
-    private void endDoubt(long now) {
+    /** Records that the store has answered a check. */
+    void onChecked(long now) {
+        mCheckPending = false;
+        mChecked = true;
+        mCheckedAt = now;
         if (mInDoubt) {
             mInDoubt = false;
-            startGrace(now + mPeerOutageGraceNanos);
+            startGrace(now + (mCheckFailed ? mOutageGraceNanos : mPeerOutageGraceNanos));
         }
+        mCheckFailed = false;
+    }
+
+    /** Records that the store did not answer a check, so that it may have an outage. */
+    void onCheckFailed() {
+        mCheckPending = false;
+        mChecked = false;
+        mCheckFailed = true;
     }
 
     private void startGrace(long endsAt) {
@@ -81,14 +88,14 @@
         mAvailable = false;
         mHadOutage = true;
         mInDoubt = false;
-        mCheckPending = false;
         mChecked = false;
     }
 
     /**
      * Records that a peer reported that the store does not answer it.
      *
-     * @return whether this instance should call the store now, to check it
+     * @return whether this instance should check the store now, and report the result with {@link
+     *     #onChecked} or {@link #onCheckFailed}
      */
     boolean onPeerOutage(long now) {
         if (!mAvailable) {
--- a/core/src/main/java/org/catkinproxy/serving/UpstreamRegistry.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamRegistry.java
@@ -51,12 +51,23 @@
     /**
      * Records that the store does not answer another instance, so that entries may expire.
      *
-     * @return whether this instance should call the store now, to check whether it answers
+     * @return whether this instance should check the store now, and report the result with {@link
+     *     #onStoreChecked} or {@link #onStoreCheckFailed}
      */
     public boolean onPeerStoreOutage(long now) {
         return mStore.onPeerOutage(now);
     }
 
+    /** Records that the store has answered a check. */
+    public void onStoreChecked(long now) {
+        mStore.onChecked(now);
+    }
+
+    /** Records that the store did not answer a check. */
+    public void onStoreCheckFailed() {
+        mStore.onCheckFailed();
+    }
+
     /** Adds an entry of the platform's registry or replaces the one with the same id. */
     public void put(Upstream upstream) {
         mRetained.remove(upstream.id());
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -211,9 +211,10 @@
     /** Handles a peer's report that the store does not respond to it. */
     void onPeerStoreOutage() {
         if (mUpstreamTracker.onPeerStoreOutage()) {
-            mWatches.stream()
-                    .filter(watch -> watch.table().equals(mRowReader.upstreamTable()))
-                    .forEach(TableWatch::pollNow);
+            mStore.readRow(mRowReader.upstreamTable(), mSettings.instance().value())
+                    .subscribe(
+                            rows -> mUpstreamTracker.onStoreChecked(),
+                            mUpstreamTracker::onStoreCheckFailed);
         }
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
@@ -127,21 +127,8 @@
         mCheckScheduled = false;
         if (version > mVersion && poll == mPoll && !poll.isDisposed()) {
             mListener.onBehind(mVersion, version);
-            pollNow();
-        }
-    }
-
-    /**
-     * Makes the next poll end without a wait, so that it shows at once whether the store responds.
-     * An open poll that waits is replaced.
-     */
-    public void pollNow() {
-        if (mPollsWithoutWait) {
-            return;
-        }
-        mPollsWithoutWait = true;
-        if (mVersion >= 0 && !mPoll.isDisposed()) {
-            mPoll.dispose();
+            poll.dispose();
+            mPollsWithoutWait = true;
             poll();
         }
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
@@ -84,12 +84,25 @@
     /**
      * Handles a peer's report that the store does not respond to it; entries may expire meanwhile.
      *
-     * @return whether the table should be polled now, to check whether the store responds
+     * @return whether the store should be checked now, with {@link #onStoreChecked} or {@link
+     *     #onStoreCheckFailed} for the result
      */
     boolean onPeerStoreOutage() {
         return mRegistry.onPeerStoreOutage(mGateway.now());
     }
 
+    /** Handles the response of the store to a check. */
+    void onStoreChecked() {
+        mRegistry.onStoreChecked(mGateway.now());
+    }
+
+    /** Handles a check without a response of the store. */
+    void onStoreCheckFailed(Throwable reason) {
+        mRegistry.onStoreCheckFailed();
+        mGateway.log()
+                .record(GatewayEvent.STORE_READ_FAILED, "table", "upstreams", "reason", reason);
+    }
+
     /** Records that an upstream said that it leaves, which holds until it starts anew. */
     void onLeaving(UpstreamState state) {
         mLeaving.add(UpstreamStart.of(state.upstream()));
