A request counts as having waited for as long as it may have

A loop that is behind took what it read as having waited for half of its last turn; the traced requests had waited for more, on connections that had waited to be accepted as well.

Data counts as having waited for the whole turn now, and that of a connection which was just accepted for the turn before its accept too.

--- a/core/src/main/java/org/catkinproxy/serving/LoopDelayEstimator.java
+++ b/core/src/main/java/org/catkinproxy/serving/LoopDelayEstimator.java
@@ -8,8 +8,8 @@
  * <p>The load pattern: a process with a small share of a processor has just started, or was paused,
  * and its loop needs a second or more for one turn. Requests that it reads have then been waiting
  * since the turn before, and part of their callers' time has passed. The estimate comes from a
- * periodic task of the loop that runs late. Data arrives at any time of a turn, so on average it
- * has waited for half of the turn.
+ * periodic task of the loop that runs late. Data may have arrived at the beginning of a turn, and
+ * counts as if it had: a request that is sent after its deadline costs an upstream work for nobody.
  *
  * <p>Not thread-safe; all times are in nanoseconds of the owner's monotonic clock.
  */
@@ -54,8 +54,16 @@
         return isLate(now) ? Math.max(now - mLastTickAt, mLastLateGapNanos) : mLastLateGapNanos;
     }
 
-    /** Returns how long data that is read at {@code now} is expected to have waited, in ns. */
-    public long waitNanos(long now) {
-        return turnNanos(now) / 2;
+    /**
+     * Returns the longest time, in ns, that data may have waited which is read at {@code now}.
+     *
+     * @param acceptedAt when the loop accepted the connection of the data
+     * @param acceptTurnNanos {@link #turnNanos} at that time; data on a connection that was just
+     *     accepted may have waited as long as the connection
+     */
+    public long maxWaitNanos(long now, long acceptedAt, long acceptTurnNanos) {
+        long turnNanos = turnNanos(now);
+        long sinceAccepted = now - acceptedAt;
+        return sinceAccepted <= turnNanos ? sinceAccepted + acceptTurnNanos : turnNanos;
     }
 }
--- a/core/src/test/java/org/catkinproxy/serving/LoopDelayEstimatorTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/LoopDelayEstimatorTest.java
@@ -15,7 +15,7 @@
     void loopThatKeepsUpHasNoDelay() {
         for (int i = 1; i < 10; i++) {
             mEstimator.onTick(i * INTERVAL + i * MILLI);
-            assertThat(mEstimator.waitNanos(i * INTERVAL + 100 * MILLI)).isEqualTo(0);
+            assertThat(mEstimator.maxWaitNanos(i * INTERVAL + 100 * MILLI, 0, 0)).isEqualTo(0);
         }
     }
 
@@ -23,7 +23,8 @@
     void overdueTaskShowsTheDelayOfTheTurnThatRuns() {
         mEstimator.onTick(INTERVAL);
         assertThat(mEstimator.turnNanos(INTERVAL + 2_000 * MILLI)).isEqualTo(2_000 * MILLI);
-        assertThat(mEstimator.waitNanos(INTERVAL + 2_000 * MILLI)).isEqualTo(1_000 * MILLI);
+        assertThat(mEstimator.maxWaitNanos(INTERVAL + 2_000 * MILLI, 0, 0))
+                .isEqualTo(2_000 * MILLI);
     }
 
     /** What arrived during a long turn is read only after the task has run. */
@@ -32,9 +33,23 @@
         mEstimator.onTick(INTERVAL);
         long late = INTERVAL + 2_000 * MILLI;
         mEstimator.onTick(late);
-        assertThat(mEstimator.waitNanos(late + 10 * MILLI)).isEqualTo(1_000 * MILLI);
+        assertThat(mEstimator.maxWaitNanos(late + 10 * MILLI, 0, 0)).isEqualTo(2_000 * MILLI);
 
         mEstimator.onTick(late + INTERVAL);
-        assertThat(mEstimator.waitNanos(late + INTERVAL + 10 * MILLI)).isEqualTo(0);
+        assertThat(mEstimator.maxWaitNanos(late + INTERVAL + 10 * MILLI, 0, 0)).isEqualTo(0);
+    }
+
+    /** A connection waits for one turn, and its first data may have waited as long. */
+    @Example
+    void dataOfNewConnectionMayHaveWaitedForBothTurns() {
+        mEstimator.onTick(2_000 * MILLI);
+        long acceptedAt = 2_010 * MILLI;
+        long acceptTurn = mEstimator.turnNanos(acceptedAt);
+        mEstimator.onTick(3_500 * MILLI);
+
+        assertThat(mEstimator.maxWaitNanos(3_500 * MILLI, acceptedAt, acceptTurn))
+                .isEqualTo(1_490 * MILLI + 2_000 * MILLI);
+        assertThat(mEstimator.maxWaitNanos(3_500 * MILLI, 10 * MILLI, acceptTurn))
+                .isEqualTo(1_500 * MILLI);
     }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -72,6 +72,8 @@
     private Exchange mExchange;
     private boolean mCloseAfterResponse;
     private long mLastActiveAt;
+    private long mAcceptedAt;
+    private long mAcceptTurnNanos;
 
     CallerConnection(Gateway gateway) {
         mGateway = gateway;
@@ -80,7 +82,9 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         mChannel = context.channel();
-        mLastActiveAt = mGateway.now();
+        mAcceptedAt = mGateway.now();
+        mAcceptTurnNanos = mGateway.loopDelay().turnNanos(mAcceptedAt);
+        mLastActiveAt = mAcceptedAt;
         mGateway.addConnection(this);
     }
 
@@ -326,6 +330,11 @@
         }
     }
 
+    /** Returns the longest time, in ns, that a request may have waited which is read now. */
+    long maxWaitNanos() {
+        return mGateway.loopDelay().maxWaitNanos(mGateway.now(), mAcceptedAt, mAcceptTurnNanos);
+    }
+
     /** Closes the connection if no request was open and nothing arrived for the idle timeout. */
     void closeIfTimedOut(long now) {
         if (mExchange != null) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -84,7 +84,7 @@
         mLog = new RequestLog(gateway, request);
         mEventSplitter =
                 new ServerSentEventSplitter(gateway.headerCodec().weightsVersionEventField());
-        mArrivedAt = gateway.now() - gateway.loopDelay().waitNanos(gateway.now());
+        mArrivedAt = gateway.now() - connection.maxWaitNanos();
         mDeadline = mArrivedAt + request.timeoutNanos();
         mService = request.service();
         mHistory = new AttemptHistory(gateway, route(), gateway.retryBudget(mService));
