Send no stream whose caller must have given up

Callers wait for the first event of a stream for two seconds, four latency targets or eight event gaps, whichever is longest (Route.callerPatience). A stream that can't begin by then is refused as not run, neither connected nor sent again.

--- a/core/src/main/java/org/catkinproxy/serving/Route.java
+++ b/core/src/main/java/org/catkinproxy/serving/Route.java
@@ -6,6 +6,7 @@
 import org.catkinproxy.id.ServiceId;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.List;
 
 /**
@@ -40,6 +41,12 @@
         Duration latencyTarget,
         Duration eventGapTarget,
         List<WeightedService> services) {
+    /** Callers wait at least this long for the next event of a stream. */
+    private static final Duration MIN_STREAM_PATIENCE = Duration.ofSeconds(2);
+
+    private static final int PATIENCE_LATENCY_TARGETS = 4;
+    private static final int PATIENCE_EVENT_GAP_TARGETS = 8;
+
     /** Validates the components. */
     public Route {
         checkNotNull(name, "name");
@@ -56,6 +63,19 @@
         services = List.copyOf(services);
     }
 
+    /**
+     * Returns how long callers wait for a response to begin before they give up, which for a stream
+     * may be much shorter than its timeout.
+     */
+    public Duration callerPatience() {
+        if (kind != CallKind.STREAM) {
+            return timeout;
+        }
+        Duration byTarget = latencyTarget.multipliedBy(PATIENCE_LATENCY_TARGETS);
+        Duration byGap = eventGapTarget.multipliedBy(PATIENCE_EVENT_GAP_TARGETS);
+        return Collections.max(List.of(MIN_STREAM_PATIENCE, byTarget, byGap));
+    }
+
     /** Returns whether a request may be sent again after an upstream may have executed it. */
     public boolean isSafeToRetry() {
         return kind.isSafeToRetry(resumable);
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -53,6 +53,10 @@
     private final RequestLog mLog;
     private final long mArrivedAt;
     private final long mDeadline;
+
+    /** When the caller gives up unless its response has begun, at the latest the deadline. */
+    private final long mBeginDeadline;
+
     private final ServiceId mService;
     private final AttemptHistory mHistory;
     private final UpstreamFeedback mFeedback;
@@ -86,6 +90,8 @@
                 new ServerSentEventSplitter(gateway.headerCodec().weightsVersionEventField());
         mArrivedAt = gateway.now() - connection.maxWaitNanos();
         mDeadline = mArrivedAt + request.timeoutNanos();
+        long patienceNanos = request.route().callerPatience().toNanos();
+        mBeginDeadline = mArrivedAt + Math.min(request.timeoutNanos(), patienceNanos);
         mService = request.service();
         mHistory = new AttemptHistory(gateway, route(), gateway.retryBudget(mService));
         mFeedback = new UpstreamFeedback(gateway, request.head().prompt(), mLog);
@@ -135,7 +141,7 @@
     /** Returns whether enough time is left after another turn of the event loop, to connect. */
     private boolean canBeSentInTime() {
         long now = mGateway.now();
-        long leftNanos = mDeadline - now - mGateway.loopDelay().turnNanos(now);
+        long leftNanos = mBeginDeadline - now - mGateway.loopDelay().turnNanos(now);
         return RetryPolicy.hasTimeLeft(route(), leftNanos);
     }
 
@@ -287,10 +293,16 @@
                                 mHistory.wasSentTo(choice.target().upstream())),
                         mEventSplitter,
                         mDeadline,
+                        sendDeadline(),
                         this);
         mAttempt.start();
     }
 
+    /** Returns the time at which it is too late to send the request once more. */
+    private long sendDeadline() {
+        return mStreaming ? mDeadline : mBeginDeadline;
+    }
+
     private Optional<UpstreamChooser.Choice> choose(long now) {
         Collection<UpstreamState> states = mGateway.upstreamStates(mService);
         return mPlacementRequest.isEmpty()
@@ -326,7 +338,7 @@
                     backup.get().target().upstream().id(),
                     mEventSplitter.lastEventId().orElseThrow());
             startAttempt(backup.get());
-        } else if (mHistory.tryRetry(failure, mDeadline - now)) {
+        } else if (mHistory.tryRetry(failure, sendDeadline() - now)) {
             mHistory.recordTried(attempt.upstream());
             mEventSplitter.discardPartialEvent();
             place();
@@ -616,7 +628,7 @@
         long now = mGateway.now();
         return !mCallerGone
                 && hasAlternative(attempt, now)
-                && mHistory.tryChargeInAdvanceOfError(mDeadline - now);
+                && mHistory.tryChargeInAdvanceOfError(sendDeadline() - now);
     }
 
     private void forwardFullResponse(UpstreamAttempt attempt, int status) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -81,6 +81,7 @@
     private final ServerSentEventSplitter mEventSplitter;
     private final Listener mListener;
     private final long mDeadline;
+    private final long mSendDeadline;
     private final long mStartedAt;
 
     /** The version of the weights that the engine was known to have at the start. */
@@ -106,6 +107,8 @@
      * Creates an attempt, which {@link #start} starts.
      *
      * @param deadline the deadline of the request, in ns of the monotonic clock
+     * @param sendDeadline when the caller gives up unless its response has begun by then, in ns of
+     *     the monotonic clock
      */
     UpstreamAttempt(
             Gateway gateway,
@@ -115,6 +118,7 @@
             SendOptions options,
             ServerSentEventSplitter eventSplitter,
             long deadline,
+            long sendDeadline,
             Listener listener) {
         mGateway = gateway;
         mRequest = request;
@@ -123,6 +127,7 @@
         mOptions = options;
         mEventSplitter = eventSplitter;
         mDeadline = deadline;
+        mSendDeadline = sendDeadline;
         mListener = listener;
         mStartedAt = gateway.now();
         mLastActivityAt = mStartedAt;
@@ -206,7 +211,7 @@
             mGateway.connectionPool().release(connection);
             return;
         }
-        if (!RetryPolicy.hasTimeLeft(mRequest.route(), mDeadline - mGateway.now())) {
+        if (!RetryPolicy.hasTimeLeft(mRequest.route(), mSendDeadline - mGateway.now())) {
             mGateway.connectionPool().release(connection);
             mListener.onAttemptFailed(
                     this, SendFailure.EXPIRED, "too little time left when connected");
