A failed check of the store is repeated until the store answers

Found by reading the change before the landing: if a check failed and the peers then stopped reporting an outage, nothing ended the doubt, and upstreams that left would have been kept for good. Evidence: UpstreamRegistryTest.failedCheckIsRepeatedAfterPeersStoppedReporting.

StopPolicy checks what its comment says it does.

--- a/core/src/main/java/org/catkinproxy/serving/StopPolicy.java
+++ b/core/src/main/java/org/catkinproxy/serving/StopPolicy.java
@@ -1,6 +1,6 @@
 package org.catkinproxy.serving;
 
-import static com.google.common.base.Preconditions.checkNotNull;
+import static com.google.common.base.Preconditions.checkArgument;
 
 import java.time.Duration;
 
@@ -28,7 +28,7 @@
 
     /** Checks that the grace period is not negative. */
     public StopPolicy {
-        checkNotNull(grace, "grace");
+        checkArgument(!grace.isNegative(), "negative grace period: %s", grace);
     }
 
     /**
--- a/core/src/main/java/org/catkinproxy/serving/StoreAvailability.java
+++ b/core/src/main/java/org/catkinproxy/serving/StoreAvailability.java
@@ -110,6 +110,18 @@
         return true;
     }
 
+    /**
+     * Returns whether this instance should repeat a check that failed, whether or not peers still
+     * report an outage, and report the result. Must be called regularly.
+     */
+    boolean startRepeatedCheck() {
+        if (!mAvailable || !mInDoubt || mCheckPending) {
+            return false;
+        }
+        mCheckPending = true;
+        return true;
+    }
+
     /** Returns whether an entry that is missing at {@code now} may have expired in an outage. */
     boolean mayHaveExpired(long now) {
         return !mAvailable || mInDoubt || (mInGrace && mGraceEndsAt - now > 0);
--- a/core/src/main/java/org/catkinproxy/serving/UpstreamRegistry.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamRegistry.java
@@ -58,6 +58,14 @@
         return mStore.onPeerOutage(now);
     }
 
+    /**
+     * Returns whether this instance should repeat a check of the store that failed, and report the
+     * result. Must be called regularly.
+     */
+    public boolean startRepeatedStoreCheck() {
+        return mStore.startRepeatedCheck();
+    }
+
     /** Records that the store has answered a check. */
     public void onStoreChecked(long now) {
         mStore.onChecked(now);
--- a/core/src/test/java/org/catkinproxy/serving/UpstreamRegistryTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/UpstreamRegistryTest.java
@@ -130,6 +130,24 @@
         assertThat(ids()).containsExactly("a");
     }
 
+    /** Guards against keeping missing entries for good after a check that failed. */
+    @Example
+    void failedCheckIsRepeatedAfterPeersStoppedReporting() {
+        mRegistry.onStoreAvailable(0);
+        mRegistry.put(Samples.upstreamWithoutWeights("a"));
+        assertThat(mRegistry.onPeerStoreOutage(millis(4_000))).isTrue();
+        assertThat(mRegistry.startRepeatedStoreCheck()).isFalse();
+        mRegistry.onStoreCheckFailed();
+        mRegistry.remove(ID, millis(5_600));
+        assertThat(mRegistry.startRepeatedStoreCheck()).isTrue();
+        assertThat(mRegistry.startRepeatedStoreCheck()).isFalse();
+
+        mRegistry.onStoreChecked(millis(5_700));
+        assertThat(mRegistry.startRepeatedStoreCheck()).isFalse();
+        assertThat(mRegistry.expire(millis(7_800))).isTrue();
+        assertThat(ids()).isEmpty();
+    }
+
     @Example
     void peerOutageIsInDoubtAgainOnceTheStoreNoLongerAnswers() {
         mRegistry.onStoreAvailable(0);
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -211,13 +211,17 @@
     /** Handles a peer's report that the store does not respond to it. */
     void onPeerStoreOutage() {
         if (mUpstreamTracker.onPeerStoreOutage()) {
-            mStore.readRow(mRowReader.upstreamTable(), mSettings.instance().value())
-                    .subscribe(
-                            rows -> mUpstreamTracker.onStoreChecked(),
-                            mUpstreamTracker::onStoreCheckFailed);
+            checkStore();
         }
     }
 
+    private void checkStore() {
+        mStore.readRow(mRowReader.upstreamTable(), mSettings.instance().value())
+                .subscribe(
+                        rows -> mUpstreamTracker.onStoreChecked(),
+                        mUpstreamTracker::onStoreCheckFailed);
+    }
+
     private void startHttpServer(InetSocketAddress address, String name) {
         logFailure(SimpleHttpServer.listen(mLoop, address, this::respondTo), name);
     }
@@ -275,6 +279,9 @@
         List.copyOf(mConnections).forEach(c -> c.closeIfTimedOut(now));
         mConnectionPool.expire();
         mUpstreamTracker.expire();
+        if (mUpstreamTracker.startRepeatedStoreCheck()) {
+            checkStore();
+        }
         mPeerLoads.expire(now, FleetIntervals.heartbeatTimeout(instanceCount()).toNanos());
         mInstanceRegistry.expire();
         mLimitGuard.expire();
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
@@ -91,6 +91,11 @@
         return mRegistry.onPeerStoreOutage(mGateway.now());
     }
 
+    /** Returns whether a check of the store that failed should be repeated now. */
+    boolean startRepeatedStoreCheck() {
+        return mRegistry.startRepeatedStoreCheck();
+    }
+
     /** Handles the response of the store to a check. */
     void onStoreChecked() {
         mRegistry.onStoreChecked(mGateway.now());
