Log what the end of the process cuts off, and how late the stop was heard

The line stopping now has the time from the signal to the event loop; request_cut and caller_cut name what the end cuts off; the log is written before the process exits.

--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -345,6 +346,23 @@
         }
     }
 
+    /** Logs that the end of the process cuts off a response or a partly received request. */
+    void logCut() {
+        ChannelOutboundBuffer output = mChannel.unsafe().outboundBuffer();
+        long unwrittenBytes = output == null ? 0 : output.totalPendingWriteBytes();
+        if (unwrittenBytes > 0 || mRequest != null || !mPipelined.isEmpty()) {
+            mGateway.log()
+                    .record(
+                            GatewayEvent.CALLER_CUT,
+                            "unwritten_bytes",
+                            unwrittenBytes,
+                            "receiving",
+                            mRequest != null,
+                            "queued_parts",
+                            mPipelined.size());
+        }
+    }
+
     /** Closes the connection if no request is open, queued or partly received. */
     void closeIfIdle() {
         if (mExchange == null && mRequest == null && mPipelined.isEmpty()) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/EventLog.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/EventLog.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A log that writes each event as a JSON object on a line of its own, without blocking its caller.
@@ -24,23 +25,29 @@
 
     private static final int MAX_BATCHES = 8;
 
+    private static final long CLOSE_TIMEOUT_MILLIS = 100;
+
+    /** The batch after which the writer thread ends. */
+    private static final byte[] END = {};
+
     private final JsonFactory mJson = new JsonFactory();
     private final BlockingQueue<byte[]> mBatches = new ArrayBlockingQueue<>(MAX_BATCHES);
     private final String mInstance;
+    private final Thread mWriter;
     private StringBuilder mBatch = new StringBuilder();
     private long mUnreportedDropped;
     private long mTotalDropped;
 
-    private EventLog(String instance) {
+    private EventLog(OutputStream out, String instance) {
         mInstance = instance;
+        mWriter = new Thread(() -> writeBatches(out), "log");
+        mWriter.setDaemon(true);
     }
 
     /** Returns a log that writes to {@code out}; its lines carry the id {@code instance}. */
     public static EventLog to(OutputStream out, String instance) {
-        EventLog log = new EventLog(instance);
-        Thread writer = new Thread(() -> log.writeBatches(out), "log");
-        writer.setDaemon(true);
-        writer.start();
+        EventLog log = new EventLog(out, instance);
+        log.mWriter.start();
         return log;
     }
 
@@ -73,6 +80,21 @@
         }
     }
 
+    /**
+     * Writes the current batch and ends the writer thread. Waits for a short time at most, as the
+     * reader of the output might hold it up.
+     */
+    public void close() {
+        flush();
+        try {
+            if (mBatches.offer(END, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)) {
+                mWriter.join(CLOSE_TIMEOUT_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Returns the number of lines dropped since the start. */
     public long droppedLines() {
         return mTotalDropped;
@@ -108,8 +130,8 @@
 
     private void writeBatches(OutputStream out) {
         try {
-            while (true) {
-                out.write(mBatches.take());
+            for (byte[] batch = mBatches.take(); batch != END; batch = mBatches.take()) {
+                out.write(batch);
                 out.flush();
             }
         } catch (IOException e) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -162,6 +162,11 @@
         }
     }
 
+    /** Logs that the end of the process cuts off this request. */
+    void logCut() {
+        mLog.cut(mHistory.attempts(), mStreaming, mGateway.now() - mArrivedAt);
+    }
+
     /** Pauses or resumes reading from the upstream as the caller's connection fills or drains. */
     void onCallerWritabilityChanged(boolean writable) {
         if (mAttempt != null) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -244,7 +244,8 @@
      * Starts a planned stop; runs {@code onStopped} on the event loop when the process may exit.
      */
     public void stop(Runnable onStopped) {
-        mLoop.execute(() -> mStopSequence.begin(onStopped));
+        long requestedAt = now();
+        mLoop.execute(() -> mStopSequence.begin(requestedAt, onStopped));
     }
 
     /** Logs that the settings file has changed; the running process keeps its settings. */
@@ -368,6 +369,12 @@
         return mExchanges.size();
     }
 
+    /** Logs what the end of the process cuts off. */
+    void logCuts() {
+        mExchanges.forEach(Exchange::logCut);
+        mConnections.forEach(CallerConnection::logCut);
+    }
+
     /** Closes the caller connections without an open request. */
     void closeIdleConnections() {
         List.copyOf(mConnections).forEach(CallerConnection::closeIfIdle);
--- a/gateway/src/main/java/org/catkinproxy/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RequestLog.java
@@ -43,6 +43,22 @@
         mGateway.log().record(GatewayEvent.CALLER_GONE, "request", mRequest, "sends", sends);
     }
 
+    void cut(int sends, boolean begun, long openNanos) {
+        mGateway.log()
+                .record(
+                        GatewayEvent.REQUEST_CUT,
+                        "request",
+                        mRequest,
+                        "route",
+                        mRoute,
+                        "sends",
+                        sends,
+                        "begun",
+                        begun,
+                        "open_ms",
+                        millis(openNanos));
+    }
+
     void placed(UpstreamChooser.Choice choice) {
         InstanceId upstream = choice.target().upstream().id();
         mGateway.log()
--- a/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
@@ -38,13 +38,25 @@
         return mBegun;
     }
 
-    void begin(Runnable onStopped) {
+    /**
+     * Begins the stop.
+     *
+     * @param requestedAt when the process was told to stop, in ns of the monotonic clock
+     * @param onStopped runs when the process may exit
+     */
+    void begin(long requestedAt, Runnable onStopped) {
         if (mBegun) {
             return;
         }
         mBegun = true;
         mBegunAt = mGateway.now();
-        mGateway.log().record(GatewayEvent.STOPPING, "open_requests", mGateway.openRequests());
+        mGateway.log()
+                .record(
+                        GatewayEvent.STOPPING,
+                        "open_requests",
+                        mGateway.openRequests(),
+                        "heard_after_ms",
+                        TimeUnit.NANOSECONDS.toMillis(mBegunAt - requestedAt));
         mGateway.instanceRegistry().leave();
         mGateway.loop()
                 .schedule(
@@ -85,6 +97,12 @@
         mGateway.stopListening();
         mGateway.closeIdleConnections();
         mGateway.log().flush();
-        mGateway.loop().schedule(onStopped, POLL_MILLIS, TimeUnit.MILLISECONDS);
+        mGateway.loop().schedule(() -> end(onStopped), POLL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void end(Runnable onStopped) {
+        mGateway.logCuts();
+        mGateway.log().close();
+        onStopped.run();
     }
 }
