Count the times of a planned stop from its request

A stop that a busy event loop heard of late ended late: its times counted from the turn that handled it. Class: a deadline measured from when it is heard of.

The times now count from the call of Gateway.stop, which the signal's thread makes. The acceptance of requests also allows for a signal that was as late as the loop. The check for the end is scheduled at the latest end itself, where up to 100 ms were added before.

--- a/core/src/main/java/org/catkinproxy/serving/StopPolicy.java
+++ b/core/src/main/java/org/catkinproxy/serving/StopPolicy.java
@@ -39,7 +39,7 @@
      */
     public boolean accepts(Duration elapsed, Duration timeout) {
         Duration latestResponse = elapsed.plus(timeout).plus(RESPONSE_MARGIN);
-        return elapsed.compareTo(ACCEPT_ALL) < 0 || latestResponse.compareTo(endsAfter()) <= 0;
+        return elapsed.compareTo(ACCEPT_ALL) < 0 || latestResponse.compareTo(latestEnd()) <= 0;
     }
 
     /**
@@ -50,10 +50,11 @@
      */
     public boolean ends(Duration elapsed, int openRequests) {
         boolean isDrained = elapsed.compareTo(MIN_DRAIN) >= 0 && openRequests == 0;
-        return isDrained || elapsed.compareTo(endsAfter()) >= 0;
+        return isDrained || elapsed.compareTo(latestEnd()) >= 0;
     }
 
-    private Duration endsAfter() {
+    /** Returns the time from the beginning of the stop after which the instance ends. */
+    public Duration latestEnd() {
         return grace.minus(KILL_MARGIN);
     }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
@@ -15,18 +15,23 @@
  * Responses sent from then on close their connections, and idle connections are closed. Callers
  * that looked up the instance before the stop may still connect: their requests are accepted as
  * long as they can end before the process does. The process ends after its last request, or shortly
- * before the grace period ends, and accepts nothing any more once that is decided. Used by the
- * event loop only.
+ * before the grace period ends, and accepts nothing any more once that is decided. All times count
+ * from when the process was told to stop, which a late event loop hears of later. Used by the event
+ * loop only.
  */
 final class StopSequence {
     private static final long CLOSE_IDLE_DELAY_MILLIS = 200;
 
-    private static final long POLL_MILLIS = 100;
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
 
     private final Gateway mGateway;
     private final StopPolicy mPolicy;
     private boolean mBegun;
-    private long mBegunAt;
+    private long mRequestedAt;
+
+    /** How late the event loop heard of the stop. */
+    private Duration mHeardAfter = Duration.ZERO;
+
     private boolean mEnding;
 
     StopSequence(Gateway gateway, Duration grace) {
@@ -49,31 +54,33 @@
             return;
         }
         mBegun = true;
-        mBegunAt = mGateway.now();
+        mRequestedAt = requestedAt;
+        mHeardAfter = elapsed();
         mGateway.log()
                 .record(
                         GatewayEvent.STOPPING,
                         "open_requests",
                         mGateway.openRequests(),
                         "heard_after_ms",
-                        TimeUnit.NANOSECONDS.toMillis(mBegunAt - requestedAt));
+                        mHeardAfter.toMillis());
         mGateway.instanceRegistry().leave();
         mGateway.loop()
                 .schedule(
                         mGateway::closeIdleConnections,
                         CLOSE_IDLE_DELAY_MILLIS,
                         TimeUnit.MILLISECONDS);
-        mGateway.loop().schedule(() -> checkDrained(onStopped), POLL_MILLIS, TimeUnit.MILLISECONDS);
+        checkDrained(onStopped);
     }
 
     /**
-     * Refuses a request that might not end before the process does.
+     * Refuses a request that might not end before the process does. The signal may have been as
+     * late as the event loop, so that the grace period may have begun earlier than is known here.
      *
      * @param timeout the time until the request has a response in any case
      * @throws CatkinException if the request has to go to another instance
      */
     void checkAccepts(Duration timeout) {
-        if (mBegun && (mEnding || !mPolicy.accepts(elapsed(), timeout))) {
+        if (mBegun && (mEnding || !mPolicy.accepts(elapsed().plus(mHeardAfter), timeout))) {
             throw CatkinException.notRun(
                     ErrorCode.STOPPING,
                     Step.STOP,
@@ -83,13 +90,14 @@
     }
 
     private Duration elapsed() {
-        return Duration.ofNanos(mGateway.now() - mBegunAt);
+        return Duration.ofNanos(mGateway.now() - mRequestedAt);
     }
 
     private void checkDrained(Runnable onStopped) {
-        if (!mPolicy.ends(elapsed(), mGateway.openRequests())) {
-            mGateway.loop()
-                    .schedule(() -> checkDrained(onStopped), POLL_MILLIS, TimeUnit.MILLISECONDS);
+        Duration elapsed = elapsed();
+        if (!mPolicy.ends(elapsed, mGateway.openRequests())) {
+            Duration untilEnd = mPolicy.latestEnd().minus(elapsed);
+            schedule(() -> checkDrained(onStopped), min(POLL_INTERVAL, untilEnd));
             return;
         }
         mEnding = true;
@@ -97,7 +105,7 @@
         mGateway.stopListening();
         mGateway.closeIdleConnections();
         mGateway.log().flush();
-        mGateway.loop().schedule(() -> end(onStopped), POLL_MILLIS, TimeUnit.MILLISECONDS);
+        schedule(() -> end(onStopped), POLL_INTERVAL);
     }
 
     private void end(Runnable onStopped) {
@@ -105,4 +113,12 @@
         mGateway.log().close();
         onStopped.run();
     }
+
+    private void schedule(Runnable task, Duration delay) {
+        mGateway.loop().schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private static Duration min(Duration a, Duration b) {
+        return a.compareTo(b) <= 0 ? a : b;
+    }
 }
