A response ends when it is written, and its connection when the caller has it

Class: work counted as done at the hand-over to the next layer.

A stop now waits until every connection is settled: nothing open, nothing partly received, nothing unwritten. After the last response of a connection that the instance closes, its output is ended and its input discarded until the caller closes or 1 s has passed. Callers that asked for the close are closed at once as before.

--- a/core/src/main/java/org/catkinproxy/serving/StopPolicy.java
+++ b/core/src/main/java/org/catkinproxy/serving/StopPolicy.java
@@ -46,11 +46,11 @@
      * Returns whether the instance ends.
      *
      * @param elapsed the time since the beginning of the stop
-     * @param openRequests the number of requests without a complete response
+     * @param isDrained whether all callers have their responses
      */
-    public boolean ends(Duration elapsed, int openRequests) {
-        boolean isDrained = elapsed.compareTo(MIN_DRAIN) >= 0 && openRequests == 0;
-        return isDrained || elapsed.compareTo(latestEnd()) >= 0;
+    public boolean ends(Duration elapsed, boolean isDrained) {
+        boolean mayEndEarly = elapsed.compareTo(MIN_DRAIN) >= 0;
+        return (mayEndEarly && isDrained) || elapsed.compareTo(latestEnd()) >= 0;
     }
 
     /** Returns the time from the beginning of the stop after which the instance ends. */
--- a/core/src/test/java/org/catkinproxy/serving/StopPolicyTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/StopPolicyTest.java
@@ -35,15 +35,15 @@
             @ForAll @IntRange(min = 2_900, max = 8_000) int elapsed,
             @ForAll @IntRange(min = 1, max = 9_000) int timeout) {
         if (mPolicy.accepts(millis(elapsed), millis(timeout))) {
-            assertThat(mPolicy.ends(millis(elapsed + timeout), 1)).isFalse();
+            assertThat(mPolicy.ends(millis(elapsed + timeout), false)).isFalse();
         }
     }
 
     @Example
     void instanceEndsOnceDrainedButNotAtOnce() {
-        assertThat(mPolicy.ends(millis(3_000), 0)).isFalse();
-        assertThat(mPolicy.ends(millis(3_200), 0)).isTrue();
-        assertThat(mPolicy.ends(millis(7_500), 1)).isFalse();
-        assertThat(mPolicy.ends(millis(7_700), 1)).isTrue();
+        assertThat(mPolicy.ends(millis(3_000), true)).isFalse();
+        assertThat(mPolicy.ends(millis(3_200), true)).isTrue();
+        assertThat(mPolicy.ends(millis(7_500), false)).isFalse();
+        assertThat(mPolicy.ends(millis(7_700), false)).isTrue();
     }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -52,19 +53,20 @@
      */
     private static final int MAX_PIPELINED_MESSAGES = 64;
 
-    /** Time for which the rest of a refused request is discarded. */
+    /** Time for which input is discarded after the last response of a connection. */
     private static final long DISCARD_MILLIS = 1_000;
 
-    /** Limit for what is discarded of a refused request. */
+    /** Limit for what is discarded after the last response. */
     private static final long MAX_DISCARDED_BYTES = 1024 * 1024;
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Gateway mGateway;
+    private final StrictRequestDecoder mDecoder;
     private final Deque<HttpObject> mPipelined = new ArrayDeque<>();
     private Channel mChannel;
 
-    /** Whether what the caller still sends is discarded after a refusal. */
+    /** Whether what the caller still sends is discarded, after the last response. */
     private boolean mDiscarding;
 
     private long mDiscardedBytes;
@@ -72,12 +74,17 @@
     private CompositeByteBuf mBody;
     private Exchange mExchange;
     private boolean mCloseAfterResponse;
+
+    /** Whether the caller has asked for the end of the connection after its response. */
+    private boolean mClosedByCaller;
+
     private long mLastActiveAt;
     private long mAcceptedAt;
     private long mAcceptTurnNanos;
 
-    CallerConnection(Gateway gateway) {
+    CallerConnection(Gateway gateway, StrictRequestDecoder decoder) {
         mGateway = gateway;
+        mDecoder = decoder;
     }
 
     @Override
@@ -185,7 +192,8 @@
         ByteBuf body = mBody;
         mRequest = null;
         mBody = null;
-        mCloseAfterResponse |= !HttpUtil.isKeepAlive(request);
+        mClosedByCaller = !HttpUtil.isKeepAlive(request);
+        mCloseAfterResponse |= mClosedByCaller;
         try {
             mExchange = mGateway.admit(this, request, body);
             mExchange.start();
@@ -205,21 +213,23 @@
         refuseAndClose(headTooLarge ? ErrorCode.HEAD_TOO_LARGE : ErrorCode.MALFORMED_HEAD);
     }
 
-    /**
-     * Refuses a request of which the caller may still send a part. The rest is discarded for a
-     * while before the connection is closed: a connection that is closed with unread data is reset,
-     * and the caller would lose the response.
-     */
+    /** Refuses a request of which the caller may still send a part. */
     private void refuseAndClose(ErrorCode code) {
         dropRequest();
         mCloseAfterResponse = true;
-        mDiscarding = true;
-        mChannel.pipeline().remove(StrictRequestDecoder.class);
-        mGateway.loop().schedule(() -> mChannel.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
+        discardInput();
         mGateway.log().record(GatewayEvent.REQUEST_REFUSED, "code", code.wireName());
         sendError(code, 0);
     }
 
+    /** Discards what follows; the connection ends with the response. */
+    private void discardInput() {
+        mDiscarding = true;
+        mPipelined.forEach(ReferenceCountUtil::release);
+        mPipelined.clear();
+        mChannel.pipeline().remove(mDecoder);
+    }
+
     private void discard(Object message) {
         if (message instanceof ByteBuf bytes) {
             mDiscardedBytes += bytes.readableBytes();
@@ -230,10 +240,26 @@
         }
     }
 
-    private ChannelFutureListener closeListener() {
-        return mDiscarding
-                ? f -> ((DuplexChannel) mChannel).shutdownOutput()
-                : ChannelFutureListener.CLOSE;
+    /**
+     * Ends the output of the connection, and the connection once the caller has ended it too or
+     * after a while. A connection that is closed with unread input is reset, and the caller would
+     * lose the end of the response.
+     */
+    private void closeGracefully() {
+        ((DuplexChannel) mChannel).shutdownOutput();
+        mGateway.loop().schedule(() -> mChannel.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Closes the connection after its last response; a caller that asked for it sends no more. */
+    private void closeAfter(ChannelFuture lastWrite) {
+        if (mClosedByCaller && !mDiscarding) {
+            lastWrite.addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        if (!mDiscarding) {
+            discardInput();
+        }
+        lastWrite.addListener(f -> closeGracefully());
     }
 
     private void dropRequest() {
@@ -267,15 +293,15 @@
     void sendResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         boolean close = setConnectionClose(headers);
-        mChannel.writeAndFlush(
+        ChannelFuture written =
+                mChannel.writeAndFlush(
                         new DefaultFullHttpResponse(
                                 HttpVersion.HTTP_1_1,
                                 status,
                                 body,
                                 headers,
-                                EmptyHttpHeaders.INSTANCE))
-                .addListener(close ? closeListener() : f -> {});
-        onResponseEnd(close);
+                                EmptyHttpHeaders.INSTANCE));
+        onResponseEnd(written, close);
     }
 
     /** Starts a chunked response. */
@@ -295,9 +321,8 @@
 
     /** Ends a chunked response as complete. */
     void endStream() {
-        mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                .addListener(mCloseAfterResponse ? ChannelFutureListener.CLOSE : f -> {});
-        onResponseEnd(mCloseAfterResponse);
+        onResponseEnd(
+                mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), mCloseAfterResponse);
     }
 
     /** Closes the connection within a response, so that the caller sees it as incomplete. */
@@ -314,15 +339,14 @@
         return close;
     }
 
-    private void onResponseEnd(boolean closing) {
+    private void onResponseEnd(ChannelFuture lastWrite, boolean closing) {
         mExchange = null;
         mLastActiveAt = mGateway.now();
         if (closing) {
-            mPipelined.forEach(ReferenceCountUtil::release);
-            mPipelined.clear();
-            return;
+            closeAfter(lastWrite);
+        } else {
+            mGateway.loop().execute(this::handlePipelined);
         }
-        mGateway.loop().execute(this::handlePipelined);
     }
 
     private void handlePipelined() {
@@ -348,24 +372,33 @@
 
     /** Logs that the end of the process cuts off a response or a partly received request. */
     void logCut() {
-        ChannelOutboundBuffer output = mChannel.unsafe().outboundBuffer();
-        long unwrittenBytes = output == null ? 0 : output.totalPendingWriteBytes();
-        if (unwrittenBytes > 0 || mRequest != null || !mPipelined.isEmpty()) {
+        if (mExchange == null && !isSettled()) {
             mGateway.log()
                     .record(
                             GatewayEvent.CALLER_CUT,
                             "unwritten_bytes",
-                            unwrittenBytes,
+                            unwrittenBytes(),
                             "receiving",
-                            mRequest != null,
+                            mDecoder.isWithinRequest(),
                             "queued_parts",
                             mPipelined.size());
         }
     }
 
-    /** Closes the connection if no request is open, queued or partly received. */
+    private long unwrittenBytes() {
+        ChannelOutboundBuffer output = mChannel.unsafe().outboundBuffer();
+        return output == null ? 0 : output.totalPendingWriteBytes();
+    }
+
+    /** Returns whether the caller has its responses and has not begun another request. */
+    boolean isSettled() {
+        boolean isReceiving = !mDiscarding && (mDecoder.isWithinRequest() || !mPipelined.isEmpty());
+        return mExchange == null && !isReceiving && unwrittenBytes() == 0;
+    }
+
+    /** Closes the connection if it is settled. */
     void closeIfIdle() {
-        if (mExchange == null && mRequest == null && mPipelined.isEmpty()) {
+        if (isSettled()) {
             mChannel.close();
         }
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -263,11 +263,12 @@
                         new ChannelInitializer<Channel>() {
                             @Override
                             protected void initChannel(Channel channel) {
+                                StrictRequestDecoder decoder =
+                                        new StrictRequestDecoder(limits().maxHeaderBytes());
                                 channel.pipeline()
-                                        .addLast(
-                                                new StrictRequestDecoder(limits().maxHeaderBytes()))
+                                        .addLast(decoder)
                                         .addLast(new HttpResponseEncoder())
-                                        .addLast(new CallerConnection(Gateway.this));
+                                        .addLast(new CallerConnection(Gateway.this, decoder));
                             }
                         })
                 .bind(mSettings.callerAddress());
@@ -369,6 +370,11 @@
         return mExchanges.size();
     }
 
+    /** Returns whether no caller waits for a response, or for the rest of one. */
+    boolean isDrained() {
+        return mExchanges.isEmpty() && mConnections.stream().allMatch(CallerConnection::isSettled);
+    }
+
     /** Logs what the end of the process cuts off. */
     void logCuts() {
         mExchanges.forEach(Exchange::logCut);
--- a/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
@@ -95,7 +95,7 @@
 
     private void checkDrained(Runnable onStopped) {
         Duration elapsed = elapsed();
-        if (!mPolicy.ends(elapsed, mGateway.openRequests())) {
+        if (!mPolicy.ends(elapsed, mGateway.isDrained())) {
             Duration untilEnd = mPolicy.latestEnd().minus(elapsed);
             schedule(() -> checkDrained(onStopped), min(POLL_INTERVAL, untilEnd));
             return;
--- a/gateway/src/main/java/org/catkinproxy/gateway/StrictRequestDecoder.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StrictRequestDecoder.java
@@ -1,8 +1,11 @@
 package org.catkinproxy.gateway;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 
 import java.util.List;
 
@@ -15,10 +18,27 @@
 final class StrictRequestDecoder extends HttpRequestDecoder {
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
+    private boolean mWithinRequest;
+
     StrictRequestDecoder(int maxHeadBytes) {
         super(maxHeadBytes, maxHeadBytes, MAX_CHUNK_BYTES);
     }
 
+    /** Returns whether a part of a request has arrived and its rest has not. */
+    boolean isWithinRequest() {
+        return mWithinRequest;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+            throws Exception {
+        mWithinRequest = true;
+        super.decode(context, in, out);
+        if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
+            mWithinRequest = false;
+        }
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException(
