A planned stop closes no connection on which a request may wait

Class: a decision from what the process has read, where the kernel knows more.

Idle connections now stay open; callers stop using them as they look up the instances again. Once the end is decided, requests are refused for 100 ms before the listener closes, and read for another 50 ms.

--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -395,11 +395,4 @@
         boolean isReceiving = !mDiscarding && (mDecoder.isWithinRequest() || !mPipelined.isEmpty());
         return mExchange == null && !isReceiving && unwrittenBytes() == 0;
     }
-
-    /** Closes the connection if it is settled. */
-    void closeIfIdle() {
-        if (isSettled()) {
-            mChannel.close();
-        }
-    }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -381,11 +381,6 @@
         mConnections.forEach(CallerConnection::logCut);
     }
 
-    /** Closes the caller connections without an open request. */
-    void closeIdleConnections() {
-        List.copyOf(mConnections).forEach(CallerConnection::closeIfIdle);
-    }
-
     void stopListening() {
         mCallerListener.close();
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
@@ -12,18 +12,23 @@
  * The steps of a planned stop.
  *
  * <p>The instance first reports that it is not ready and is no longer returned to callers.
- * Responses sent from then on close their connections, and idle connections are closed. Callers
- * that looked up the instance before the stop may still connect: their requests are accepted as
- * long as they can end before the process does. The process ends after its last request, or shortly
- * before the grace period ends, and accepts nothing any more once that is decided. All times count
- * from when the process was told to stop, which a late event loop hears of later. Used by the event
- * loop only.
+ * Responses sent from then on close their connections. Idle connections stay open: a request may be
+ * on its way, and a caller that looks up the instances again stops using them. Callers that have
+ * not done so may still connect: their requests are accepted as long as they can end before the
+ * process does. The process ends after its last response, or shortly before the grace period ends.
+ * Once that is decided, all further requests are refused, for long enough to answer those that are
+ * on their way. All times count from when the process was told to stop, which a late event loop
+ * hears of later. Used by the event loop only.
  */
 final class StopSequence {
-    private static final long CLOSE_IDLE_DELAY_MILLIS = 200;
-
     private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
 
+    /** Time for which requests are refused before the listener closes. */
+    private static final Duration REFUSE_TIME = Duration.ofMillis(100);
+
+    /** Time in which requests are read that were sent before the listener closed. */
+    private static final Duration LAST_READ_TIME = Duration.ofMillis(50);
+
     private final Gateway mGateway;
     private final StopPolicy mPolicy;
     private boolean mBegun;
@@ -64,11 +69,6 @@
                         "heard_after_ms",
                         mHeardAfter.toMillis());
         mGateway.instanceRegistry().leave();
-        mGateway.loop()
-                .schedule(
-                        mGateway::closeIdleConnections,
-                        CLOSE_IDLE_DELAY_MILLIS,
-                        TimeUnit.MILLISECONDS);
         checkDrained(onStopped);
     }
 
@@ -102,10 +102,13 @@
         }
         mEnding = true;
         mGateway.log().record(GatewayEvent.STOPPED, "open_requests", mGateway.openRequests());
-        mGateway.stopListening();
-        mGateway.closeIdleConnections();
         mGateway.log().flush();
-        schedule(() -> end(onStopped), POLL_INTERVAL);
+        schedule(() -> stopListening(onStopped), REFUSE_TIME);
+    }
+
+    private void stopListening(Runnable onStopped) {
+        mGateway.stopListening();
+        schedule(() -> end(onStopped), LAST_READ_TIME);
     }
 
     private void end(Runnable onStopped) {
