A stopping instance answers pipelined requests before it closes

A request that was read while the one before it was open was dropped without a response: during a stop every response closes its connection. A response now leaves the connection open while more input is there, and the last one closes.

Evidence: PlannedStopTest.pipelinedRequestIsAnsweredDuringTheStop got one of two responses before, and passes now.

--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -332,7 +332,7 @@
     }
 
     private boolean setConnectionClose(HttpHeaders headers) {
-        boolean close = mCloseAfterResponse || mGateway.isStopping();
+        boolean close = mCloseAfterResponse || (mGateway.isStopping() && !isReceiving());
         if (close) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -392,7 +392,11 @@
 
     /** Returns whether the caller has its responses and has not begun another request. */
     boolean isSettled() {
-        boolean isReceiving = !mDiscarding && (mDecoder.isWithinRequest() || !mPipelined.isEmpty());
-        return mExchange == null && !isReceiving && unwrittenBytes() == 0;
+        return mExchange == null && !isReceiving() && unwrittenBytes() == 0;
+    }
+
+    /** Returns whether at least a part of another request has arrived. */
+    private boolean isReceiving() {
+        return !mDiscarding && (mDecoder.isWithinRequest() || !mPipelined.isEmpty());
     }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/StrictRequestDecoder.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StrictRequestDecoder.java
@@ -24,9 +24,9 @@
         super(maxHeadBytes, maxHeadBytes, MAX_CHUNK_BYTES);
     }
 
-    /** Returns whether a part of a request has arrived and its rest has not. */
+    /** Returns whether at least a part of a request has arrived that was not passed on whole. */
     boolean isWithinRequest() {
-        return mWithinRequest;
+        return mWithinRequest || actualReadableBytes() > 0;
     }
 
     @Override
