Requests without a response at the end of a planned stop are answered

A request that its upstream had not answered by the end of the grace period ended with its connection, and one that was never sent did so too, though nothing had run. The former now get a 502, the latter a 503 that says so. Begun streams go on to the end of the process.

--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -162,6 +162,21 @@
         }
     }
 
+    /**
+     * Answers a request whose response has not begun, as the process ends. A stream that has begun
+     * goes on until then.
+     */
+    void endForStop() {
+        if (mCallerGone || mStreaming) {
+            return;
+        }
+        if (mayHaveRun()) {
+            fail(ErrorCode.UPSTREAM_FAILED, "the instance stops before the upstream has responded");
+        } else {
+            refuse(ErrorCode.STOPPING, "the instance stops before the request was sent");
+        }
+    }
+
     /** Logs that the end of the process cuts off this request. */
     void logCut() {
         mLog.cut(mHistory.attempts(), mStreaming, mGateway.now() - mArrivedAt);
@@ -188,11 +203,10 @@
     }
 
     private void endQuarantined(Quarantine quarantine) {
-        boolean mayHaveRun = mHistory.mayHaveRun() || (mAttempt != null && mAttempt.isSent());
         if (mStreaming) {
             mConnection.abort();
             finish("broken");
-        } else if (mayHaveRun) {
+        } else if (mayHaveRun()) {
             fail(ErrorCode.UPSTREAM_FAILED, "the prompt crashes engines");
         } else {
             long remainingNanos = quarantine.expiresAt() - mGateway.now();
@@ -203,6 +217,11 @@
         }
     }
 
+    /** Returns whether an upstream may have run the request, or may run it now. */
+    private boolean mayHaveRun() {
+        return mHistory.mayHaveRun() || (mAttempt != null && mAttempt.isSent());
+    }
+
     private void place() {
         Optional<Quarantine> quarantine = findQuarantine();
         if (quarantine.isPresent()) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -375,6 +375,11 @@
         return mExchanges.isEmpty() && mConnections.stream().allMatch(CallerConnection::isSettled);
     }
 
+    /** Answers the open requests whose responses have not begun, as the process ends. */
+    void endOpenRequests() {
+        List.copyOf(mExchanges).forEach(Exchange::endForStop);
+    }
+
     /** Logs what the end of the process cuts off. */
     void logCuts() {
         mExchanges.forEach(Exchange::logCut);
--- a/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
@@ -102,6 +102,7 @@
         }
         mEnding = true;
         mGateway.log().record(GatewayEvent.STOPPED, "open_requests", mGateway.openRequests());
+        mGateway.endOpenRequests();
         mGateway.log().flush();
         schedule(() -> stopListening(onStopped), REFUSE_TIME);
     }
