The pause of a slowly reading caller is no silence of the engine

A resumable stream whose caller read slowly was moved to a second engine after 1.1 s, which computed the prompt again: reading from the first one was paused for the caller, and nothing arrived. An attempt that is paused no longer counts as stalled, and one that goes on has some time to send.

--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -496,7 +496,7 @@
 
     /** Abandons a stalled attempt if the budget allows a retry, and lets it continue otherwise. */
     private void onStalled(UpstreamAttempt attempt, long now) {
-        if (hasAlternative(attempt, now) && mHistory.tryChargeInAdvance()) {
+        if (!attempt.isPaused() && hasAlternative(attempt, now) && mHistory.tryChargeInAdvance()) {
             onAttemptFailed(
                     attempt,
                     SendFailure.SILENT,
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -89,6 +89,7 @@
 
     private long mLastActivityAt;
     private long mStallExtendedUntil;
+    private boolean mPaused;
     private UpstreamConnection mConnection;
     private boolean mSent;
     private boolean mPrefillEnded;
@@ -198,13 +199,20 @@
         return body;
     }
 
-    /** Resumes or pauses reading from the upstream. */
+    /** Resumes or pauses reading from the upstream; a pause is no silence of the upstream. */
     void setAutoRead(boolean autoRead) {
+        mPaused = !autoRead;
+        mStallExtendedUntil = Math.max(mStallExtendedUntil, mGateway.now() + STALL_EXTENSION_NANOS);
         if (mConnection != null) {
             mConnection.setAutoRead(autoRead);
         }
     }
 
+    /** Returns whether reading from the upstream is paused, as the caller reads slowly. */
+    boolean isPaused() {
+        return mPaused;
+    }
+
     @Override
     public void onAcquired(UpstreamConnection connection) {
         if (mClosed) {
