--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.catkinproxy.serving.SharedRetryBudget;
 import org.catkinproxy.serving.Upstream;
 import org.catkinproxy.serving.UpstreamChooser;
+import org.catkinproxy.serving.UpstreamEligibility;
 import org.catkinproxy.serving.UpstreamService;
 import org.catkinproxy.serving.UpstreamState;
 
@@ -70,6 +71,7 @@
     private final GatewayMetrics mMetrics = new GatewayMetrics();
     private final SplittableRandom mRandom = new SplittableRandom();
     private final PeerLoads mPeerLoads = PeerLoads.create();
+    private final UpstreamEligibility mEligibility;
     private final UpstreamChooser mChooser;
     private final UpstreamConnectionPool mConnectionPool;
     private final UpstreamTracker mUpstreamTracker;
@@ -117,6 +119,7 @@
         mPeerMessenger = new PeerMessenger(this, settings.peerAddress());
         mCacheTracker = new CacheTracker(this, engineControl, settings.instance());
         mLimitGuard = new LimitGuard(this, settings.instance());
+        mEligibility = UpstreamEligibility.of(mLimitGuard);
         mChooser = UpstreamChooser.of(mRandom, mPeerLoads, mLimitGuard);
         mPromptGuard = new PromptGuard(this, store, settings.instance());
         String session = Long.toHexString(mRandom.nextLong());
@@ -581,6 +584,10 @@
         return mSettings;
     }
 
+    UpstreamEligibility eligibility() {
+        return mEligibility;
+    }
+
     UpstreamChooser chooser() {
         return mChooser;
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/LimitGuard.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/LimitGuard.java
@@ -121,7 +121,7 @@
         long now = mGateway.now();
         return upstreams.stream()
                 .filter(s -> !s.isLeaving())
-                .filter(s -> !s.acceptsRequests(now) || !maySend(s.upstream(), now))
+                .filter(s -> !mGateway.eligibility().mayGetRequest(s, now))
                 .map(s -> nanosUntilAllowed(s, now))
                 .flatMapToLong(OptionalLong::stream)
                 .min();
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -225,7 +225,7 @@
                     this, SendFailure.EXPIRED, "too little time left when connected");
             return;
         }
-        if (!upstreamState().acceptsRequests(mGateway.now())) {
+        if (!mGateway.eligibility().mayGetCountedRequest(upstreamState(), mGateway.now())) {
             mGateway.connectionPool().release(connection);
             mListener.onAttemptFailed(
                     this,
