Separate the accounting of an attempt from the handling of its response

No behaviour changes: the same values are recorded at the same events. One small object per attempt is new. Tests of gateway and platform pass unchanged.

--- a/gateway/src/main/java/org/catkinproxy/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RequestLog.java
@@ -99,7 +99,7 @@
                         "after_ms",
                         millis(now - attempt.startedAt()),
                         "begun",
-                        attempt.hasOutput(),
+                        attempt.accounting().hasOutput(),
                         "parts",
                         mPrompt.map(RequestLog::sharedPartsInHex).orElse(NO_PROMPT));
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -1,6 +1,5 @@
 package org.catkinproxy.gateway;
 
-import org.catkinproxy.id.RequestId;
 import org.catkinproxy.serving.CallKind;
 import org.catkinproxy.serving.RetryPolicy;
 import org.catkinproxy.serving.SendFailure;
@@ -24,9 +23,10 @@
 /**
  * One attempt to run a request on one upstream, up to the end of the response.
  *
- * <p>Accounts for the request in the load of the upstream. A full response is buffered until it is
- * complete; of an event stream, complete events are passed on. The listener is not called after
- * {@link #close}. Used by the event loop only.
+ * <p>Handles the connection and the response; {@link AttemptAccounting} records what they show of
+ * the upstream. A full response is buffered until it is complete; of an event stream, complete
+ * events are passed on. The listener is not called after {@link #close}. Used by the event loop
+ * only.
  */
 final class UpstreamAttempt implements ResponseListener, UpstreamConnectionPool.AcquireListener {
     /** Maximum size of a full response; a longer one fails the attempt. */
@@ -35,12 +35,6 @@
     /** Extension of the stall timeout of an attempt for which the budget allows no retry. */
     private static final long STALL_EXTENSION_NANOS = 300_000_000L;
 
-    /** Time of output after which an engine has survived the prompt. */
-    private static final long PROMPT_PROVEN_NANOS = 300_000_000L;
-
-    /** Share of the latency target that a typical upstream needs for a full response. */
-    private static final double TYPICAL_LATENCY_TARGET_SHARE = 0.25;
-
     /** Receives the progress and the outcome of an attempt. */
     interface Listener {
         /** Called when the request was written to a connection. */
@@ -82,23 +76,10 @@
     private final Listener mListener;
     private final long mDeadline;
     private final long mSendDeadline;
-    private final long mStartedAt;
-
-    /** The version of the weights that the engine was known to have at the start. */
-    private final int mWeightsVersion;
-
-    private long mLastActivityAt;
+    private final AttemptAccounting mAccounting;
     private long mStallExtendedUntil;
     private boolean mPaused;
     private UpstreamConnection mConnection;
-    private boolean mSent;
-    private boolean mPrefillEnded;
-
-    /** When the first output arrived, 0 before that. */
-    private long mFirstOutputAt;
-
-    private boolean mPromptProven;
-    private boolean mGenerationRecorded;
     private boolean mClosed;
     private HttpResponse mResponse;
     private ResponseHead mResponseHead;
@@ -130,16 +111,19 @@
         mDeadline = deadline;
         mSendDeadline = sendDeadline;
         mListener = listener;
-        mStartedAt = gateway.now();
-        mLastActivityAt = mStartedAt;
-        mStallExtendedUntil = mStartedAt;
-        mWeightsVersion = request.head().prompt().map(choice.target()::knownVersion).orElse(0);
+        mAccounting =
+                new AttemptAccounting(
+                        gateway,
+                        request,
+                        placementRequest,
+                        choice,
+                        options.lastEventId().isEmpty());
+        mStallExtendedUntil = mAccounting.startedAt();
     }
 
     /** Acquires a connection and sends the request. */
     void start() {
-        upstreamState().recordSent(mChoice.uncachedTokens());
-        mGateway.limitGuard().recordSent(upstream());
+        mAccounting.recordStart();
         if (mOptions.usesNewConnection()) {
             mGateway.connectionPool().connect(upstream(), this);
         } else {
@@ -160,26 +144,26 @@
         return mChoice.backup().filter(b -> mOptions.keepsBackup());
     }
 
-    int weightsVersion() {
-        return mWeightsVersion;
+    /** Returns what the attempt has recorded of the upstream so far. */
+    AttemptAccounting accounting() {
+        return mAccounting;
     }
 
-    long startedAt() {
-        return mStartedAt;
+    int weightsVersion() {
+        return mAccounting.weightsVersion();
     }
 
-    /** Returns whether any output of a valid response has arrived. */
-    boolean hasOutput() {
-        return mFirstOutputAt != 0;
+    long startedAt() {
+        return mAccounting.startedAt();
     }
 
     long lastActivityAt() {
-        return mLastActivityAt;
+        return mAccounting.lastActivityAt();
     }
 
     /** Returns whether any byte of the request may have been sent. */
     boolean isSent() {
-        return mSent;
+        return mAccounting.isSent();
     }
 
     /** Returns the head of the response; valid once it has arrived. */
@@ -234,8 +218,7 @@
             return;
         }
         mConnection = connection;
-        mSent = true;
-        mPlacementRequest.ifPresent(this::recordSentPrompt);
+        mAccounting.recordSent();
         connection.send(
                 mRequest.head().id(),
                 mRequest.method(),
@@ -264,29 +247,14 @@
     private UpstreamRequestMetadata.EngineMetadata engineMetadata(
             UpstreamChooser.PlacementRequest placementRequest) {
         return new UpstreamRequestMetadata.EngineMetadata(
-                placementRequest.cacheScope(mWeightsVersion),
-                mWeightsVersion,
+                placementRequest.cacheScope(weightsVersion()),
+                weightsVersion(),
                 mChoice.fetchFrom(),
                 mChoice.saveTo(),
                 backup(),
                 mOptions.resumesFromBackup());
     }
 
-    private void recordSentPrompt(UpstreamChooser.PlacementRequest placementRequest) {
-        long now = mGateway.now();
-        long[] keys =
-                placementRequest.prompt().partKeys(placementRequest.cacheScope(mWeightsVersion));
-        upstreamState().promptCache().recordSent(placementRequest.prompt(), keys, now);
-        if (mChoice.saveTo().isPresent()) {
-            placementRequest
-                    .promptStore()
-                    .ifPresent(
-                            store ->
-                                    store.contents()
-                                            .recordSent(placementRequest.prompt(), keys, now));
-        }
-    }
-
     @Override
     public void onAcquireFailed(String reason) {
         if (!mClosed) {
@@ -296,10 +264,10 @@
 
     @Override
     public void onHead(HttpResponse response, ResponseHead head) {
-        recordActivity();
+        mAccounting.recordActivity();
         mResponse = response;
         mResponseHead = head;
-        head.weightsVersion().ifPresent(this::recordWeightsVersion);
+        head.weightsVersion().ifPresent(mAccounting::recordWeightsVersion);
         recordNotices(head);
         mGateway.limitGuard().onResponse(upstream(), head.requestLimit());
         if (!isEventStream()) {
@@ -322,16 +290,6 @@
         }
     }
 
-    private void recordActivity() {
-        mLastActivityAt = mGateway.now();
-        upstreamState().recordActivity(mLastActivityAt);
-    }
-
-    /** Records that the engine has this version of the weights. */
-    void recordWeightsVersion(int version) {
-        mRequest.head().prompt().ifPresent(p -> upstreamState().recordVersion(p.model(), version));
-    }
-
     private boolean isEventStream() {
         return mRequest.route().kind() == CallKind.STREAM
                 && mResponse.status().equals(HttpResponseStatus.OK);
@@ -344,7 +302,7 @@
             return;
         }
         if (mBody != null) {
-            recordActivity();
+            mAccounting.recordActivity();
             appendBody(content);
         } else {
             splitEvents(content);
@@ -377,79 +335,34 @@
             events.release();
             return;
         }
-        recordActivity();
-        recordFirstOutput();
-        if (mLastActivityAt - mFirstOutputAt >= PROMPT_PROVEN_NANOS) {
-            recordPromptProven();
-        }
+        mAccounting.recordEvents();
         mListener.onEvents(this, events);
     }
 
     /** Records that the engine has survived the prompt. */
     void recordPromptProven() {
-        if (!mPromptProven) {
-            mPromptProven = true;
-            mRequest.head().prompt().ifPresent(mGateway.promptGuard()::recordSuccess);
-        }
+        mAccounting.recordPromptProven();
     }
 
     /** Returns whether the engine may still crash on the prompt. */
     boolean isPromptSuspect() {
-        boolean hasRunOn = hasOutput() && mGateway.now() - mFirstOutputAt >= PROMPT_PROVEN_NANOS;
-        return mSent && !mPromptProven && !hasRunOn;
-    }
-
-    /** Records that the connection broke, which the prompt may have caused. */
-    void recordPromptFailure() {
-        if (isPromptSuspect()) {
-            RequestId id = mRequest.head().id();
-            mRequest.head()
-                    .prompt()
-                    .ifPresent(
-                            p ->
-                                    mGateway.promptGuard()
-                                            .recordFailure(upstream(), id, p, mStartedAt));
-        }
+        return mAccounting.isPromptSuspect();
     }
 
-    /** Fails the attempt because all buffered responses together need too much memory. */
-    void onBufferBudgetExceeded() {
-        mListener.onAttemptFailed(
-                this, SendFailure.GARBLED, "buffered responses exceed the memory limit");
-    }
-
-    /**
-     * Records the first output of a valid response and its latency relative to the expected one.
-     */
+    /** Records the first output of a valid response. */
     void recordFirstOutput() {
-        if (mPrefillEnded) {
-            return;
-        }
-        mPrefillEnded = true;
-        mFirstOutputAt = mGateway.now();
-        upstreamState().recordPrefilled(mChoice.uncachedTokens());
-        double expected =
-                mPlacementRequest.isPresent()
-                        ? mChoice.baselineFirstTokenNanos()
-                        : mRequest.route().latencyTarget().toNanos() * TYPICAL_LATENCY_TARGET_SHARE;
-        if (expected > 0) {
-            upstreamState().recordRelativeLatency((mLastActivityAt - mStartedAt) / expected);
-        }
+        mAccounting.recordFirstOutput();
     }
 
-    /** Records the speed of a new stream, once, as far as the stream has come. */
+    /** Records the speed of a stream that has ended. */
     void recordGeneration(boolean isComplete) {
-        if (mFirstOutputAt != 0
-                && !mGenerationRecorded
-                && mPlacementRequest.isPresent()
-                && mOptions.lastEventId().isEmpty()) {
-            mGenerationRecorded = true;
-            upstreamState()
-                    .recordGeneration(
-                            mGateway.now() - mFirstOutputAt,
-                            mPlacementRequest.get().prompt().maxOutputTokens(),
-                            isComplete);
-        }
+        mAccounting.recordGeneration(isComplete);
+    }
+
+    /** Fails the attempt because all buffered responses together need too much memory. */
+    void onBufferBudgetExceeded() {
+        mListener.onAttemptFailed(
+                this, SendFailure.GARBLED, "buffered responses exceed the memory limit");
     }
 
     @Override
@@ -488,7 +401,7 @@
                 upstreamState().isActive(mGateway.now(), StallPolicy.activityWindowNanos());
         long stalledAt =
                 StallPolicy.stalledAt(
-                        mRequest.route(), mStartedAt, mLastActivityAt, hasBegun, isActive);
+                        mRequest.route(), startedAt(), lastActivityAt(), hasBegun, isActive);
         return Math.max(mStallExtendedUntil, stalledAt);
     }
 
@@ -497,14 +410,9 @@
         if (mClosed) {
             return;
         }
-        recordGeneration(false);
         mClosed = true;
         mGateway.recordBufferedBytes(this, 0);
-        if (!mPrefillEnded) {
-            mPrefillEnded = true;
-            upstreamState().recordPrefilled(mChoice.uncachedTokens());
-        }
-        upstreamState().recordEnded();
+        mAccounting.close();
         if (mBody != null) {
             mBody.release();
             mBody = null;
@@ -514,9 +422,4 @@
             mConnection = null;
         }
     }
-
-    /** Returns the number of prompt tokens that the upstream was expected to compute. */
-    long uncachedTokens() {
-        return mChoice.uncachedTokens();
-    }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamFeedback.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamFeedback.java
@@ -56,7 +56,7 @@
             }
             case BROKEN -> {
                 state.recordResponse(false, now);
-                attempt.recordPromptFailure();
+                attempt.accounting().recordPromptFailure();
             }
             case GARBLED, ERROR_ANSWER -> state.recordResponse(false, now);
             default -> throw new AssertionError(failure);
@@ -76,7 +76,7 @@
             attempt.upstreamState().markUnreachable(now);
         } else if (head.weightsVersion().isEmpty()) {
             mPrompt.map(p -> mGateway.desiredVersions().newest(p.model()))
-                    .ifPresent(attempt::recordWeightsVersion);
+                    .ifPresent(attempt.accounting()::recordWeightsVersion);
         }
     }
 }
