Move listeners, status responses, table watches and store views out of Gateway

Gateway is the composition root, and held in over 600 lines also:

- the listener for callers, now CallerListener;
- the responses for readiness, directory and metrics, now StatusResponder;
- the set of watched tables and its poll intervals, now TableWatches;
- the views of prompt stores, now PromptStoreViews.

Gateway keeps the accessors that Exchange uses, and all that a planned stop uses, as they are. No behaviour changes.

--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -9,8 +9,6 @@
 import org.catkinproxy.serving.LoopDelayEstimator;
 import org.catkinproxy.serving.PeerLoads;
 import org.catkinproxy.serving.Prompt;
-import org.catkinproxy.serving.PromptCacheView;
-import org.catkinproxy.serving.PromptStore;
 import org.catkinproxy.serving.PromptStoreView;
 import org.catkinproxy.serving.RequestLimits;
 import org.catkinproxy.serving.ServingConfig;
@@ -21,22 +19,15 @@
 import org.catkinproxy.serving.UpstreamService;
 import org.catkinproxy.serving.UpstreamState;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -46,9 +37,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 
 /**
  * One gateway process, with its listeners, connections and state.
@@ -64,7 +53,7 @@
     private final EventLoop mLoop;
     private final GatewaySettings mSettings;
     private final HeaderCodec mHeaderCodec;
-    private final DirectoryCodec mDirectoryCodec;
+    private final StatusResponder mStatusResponder;
     private final RowReader mRowReader;
     private final TableStore mStore;
     private final EventLog mLog;
@@ -85,10 +74,10 @@
     private final RolloutTask mRolloutTask;
     private final StopSequence mStopSequence;
     private final Map<ServiceId, SharedRetryBudget> mRetryBudgets = new HashMap<>();
-    private final List<TableWatch> mWatches = new ArrayList<>();
+    private final TableWatches mTableWatches;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private final Set<Exchange> mExchanges = new HashSet<>();
-    private final Map<PromptStore, PromptStoreView> mPromptStoreViews = new HashMap<>();
+    private final PromptStoreViews mPromptStoreViews;
     private final BufferBudget<UpstreamAttempt> mBufferBudget;
     private final LoopDelayEstimator mLoopDelay =
             LoopDelayEstimator.of(
@@ -108,7 +97,7 @@
         mLoop = loop;
         mSettings = settings;
         mHeaderCodec = headerCodec;
-        mDirectoryCodec = directoryCodec;
+        mStatusResponder = new StatusResponder(this, directoryCodec);
         mRowReader = rowReader;
         mStore = store;
         mLog = log;
@@ -117,7 +106,9 @@
         mConnectionPool = new UpstreamConnectionPool(loop, headerCodec);
         mInstanceRegistry = new InstanceRegistry(this, store);
         mPeerMessenger = new PeerMessenger(this, settings.peerAddress());
+        mTableWatches = new TableWatches(this, store);
         mCacheTracker = new CacheTracker(this, engineControl, settings.instance());
+        mPromptStoreViews = new PromptStoreViews(mCacheTracker);
         mLimitGuard = new LimitGuard(this, settings.instance());
         mEligibility = UpstreamEligibility.of(mLimitGuard);
         mChooser = UpstreamChooser.of(mRandom, mPeerLoads, mLimitGuard);
@@ -154,7 +145,9 @@
 
     /** Opens the listeners and starts to watch the store's tables. */
     public void start() {
-        mCallerListener = logFailure(listen(), "front").channel();
+        mCallerListener =
+                logFailure(CallerListener.listen(this, mSettings.callerAddress()), "front")
+                        .channel();
         mSettings.readinessAddress().ifPresent(a -> startHttpServer(a, "probe"));
         mSettings.directoryAddress().ifPresent(a -> startHttpServer(a, "directory"));
         startHttpServer(mSettings.metricsAddress(), "metrics");
@@ -162,8 +155,8 @@
         mInstanceRegistry.start();
         mPromptGuard.start();
         mCacheTracker.start();
-        watch(mRowReader.operatorTable(), mConfigWatcher, () -> Duration.ZERO);
-        watch(mRowReader.upstreamTable(), mUpstreamTracker, this::upstreamPollDelay);
+        mTableWatches.start(mRowReader.operatorTable(), mConfigWatcher, () -> Duration.ZERO);
+        mTableWatches.start(mRowReader.upstreamTable(), mUpstreamTracker, this::upstreamPollDelay);
         mLoop.scheduleAtFixedRate(
                 GuardedTask.of(mLog, "sweep", this::sweep),
                 SWEEP_INTERVAL_MILLIS,
@@ -182,33 +175,8 @@
         return FleetIntervals.upstreamPollDelay(instanceCount(), mSettings.upstreamDrainTime());
     }
 
-    private void watch(String table, TableWatch.Listener listener, Supplier<Duration> pollDelay) {
-        TableWatch.PollPolicy pollPolicy =
-                new TableWatch.PollPolicy() {
-                    @Override
-                    public Duration pollTimeout() {
-                        return FleetIntervals.pollTimeout(instanceCount(), mRandom);
-                    }
-
-                    @Override
-                    public Duration pollDelay() {
-                        return pollDelay.get();
-                    }
-                };
-        mWatches.add(TableWatch.start(mLoop, mStore, table, listener, pollPolicy));
-    }
-
-    /** Returns the version of the newest change seen in each watched table, by table name. */
-    Map<String, Long> tableVersions() {
-        return mWatches.stream()
-                .collect(Collectors.toMap(TableWatch::table, TableWatch::newestRowVersion));
-    }
-
-    /** Handles a peer's report that it has seen {@code version} of a table. */
-    void onTableVersionHint(String table, long version) {
-        mWatches.stream()
-                .filter(watch -> watch.table().equals(table))
-                .forEach(watch -> watch.onVersionHint(version));
+    TableWatches tableWatches() {
+        return mTableWatches;
     }
 
     /** Handles a peer's report that the store does not respond to it. */
@@ -226,7 +194,7 @@
     }
 
     private void startHttpServer(InetSocketAddress address, String name) {
-        logFailure(SimpleHttpServer.listen(mLoop, address, this::respondTo), name);
+        logFailure(SimpleHttpServer.listen(mLoop, address, mStatusResponder), name);
     }
 
     /**
@@ -256,27 +224,6 @@
         mLog.record(GatewayEvent.SETTINGS_RELOADED, "config", configVersion());
     }
 
-    private ChannelFuture listen() {
-        return new ServerBootstrap()
-                .group(mLoop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(
-                        new ChannelInitializer<Channel>() {
-                            @Override
-                            protected void initChannel(Channel channel) {
-                                StrictRequestDecoder decoder =
-                                        new StrictRequestDecoder(limits().maxHeaderBytes());
-                                channel.pipeline()
-                                        .addLast(decoder)
-                                        .addLast(new HttpResponseEncoder())
-                                        .addLast(new CallerConnection(Gateway.this, decoder));
-                            }
-                        })
-                .bind(mSettings.callerAddress());
-    }
-
     private void sweep() {
         long now = now();
         mLoopDelay.onTick(now);
@@ -294,25 +241,6 @@
         mLog.flush();
     }
 
-    private SimpleHttpServer.Response respondTo(String target) {
-        int query = target.indexOf('?');
-        String path = query < 0 ? target : target.substring(0, query);
-        if (mDirectoryCodec.isReadinessPath(path)) {
-            return new SimpleHttpServer.Response(isReady() ? 200 : 503, "text/plain", new byte[0]);
-        }
-        if (mDirectoryCodec.isDirectoryPath(path)) {
-            byte[] body =
-                    mDirectoryCodec.writeAddresses(
-                            mInstanceRegistry.callerAddresses(), mSettings.directoryTtl());
-            return new SimpleHttpServer.Response(200, "application/json", body);
-        }
-        if (path.equals("/metrics")) {
-            byte[] metrics = mMetrics.scrape(this).getBytes(StandardCharsets.UTF_8);
-            return new SimpleHttpServer.Response(200, "text/plain; version=0.0.4", metrics);
-        }
-        return new SimpleHttpServer.Response(404, "text/plain", new byte[0]);
-    }
-
     /**
      * Returns a new exchange for a request.
      *
@@ -499,23 +427,12 @@
 
     /** Returns the prompt store responsible for a prompt, empty if there is none. */
     Optional<PromptStoreView> promptStoreView(Prompt prompt) {
-        return PromptStoreView.select(mPromptStoreViews.values(), prompt);
+        return mPromptStoreViews.select(prompt);
     }
 
-    /** Tracks the prompt stores of a new configuration and drops all others. */
+    /** Tracks the prompt stores of a new configuration. */
     void onConfigChanged(ServingConfig config) {
-        mPromptStoreViews.keySet().retainAll(config.promptStores());
-        for (PromptStore store : config.promptStores()) {
-            if (!mPromptStoreViews.containsKey(store)) {
-                PromptStoreView view = new PromptStoreView(store, new PromptCacheView());
-                mPromptStoreViews.put(store, view);
-                mCacheTracker.track(
-                        store.address(),
-                        view.contents(),
-                        store.maxEventSubscribers(),
-                        () -> mPromptStoreViews.get(store) == view);
-            }
-        }
+        mPromptStoreViews.setStores(config.promptStores());
     }
 
     /** Returns the limits of a service's engines, empty if none are configured. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
@@ -68,7 +68,8 @@
     /** Sends the current state of this instance to all peers, and at times to silent ones. */
     void sendHeartbeat() {
         PeerMessage.Heartbeat heartbeat =
-                mGateway.instanceRegistry().heartbeat(loadByUpstream(), mGateway.tableVersions());
+                mGateway.instanceRegistry()
+                        .heartbeat(loadByUpstream(), mGateway.tableWatches().versions());
         send(heartbeat);
         send(heartbeat, mGateway.instanceRegistry().silentPeersToProbe());
         mGateway.promptGuard().repeatReport();
@@ -128,7 +129,7 @@
         }
         mGateway.peerLoads()
                 .update(heartbeat.instance(), heartbeat.loadByUpstream(), mGateway.now());
-        heartbeat.tableVersions().forEach(mGateway::onTableVersionHint);
+        heartbeat.tableVersions().forEach(mGateway.tableWatches()::onVersionHint);
         if (!heartbeat.storeReachable()) {
             mGateway.onPeerStoreOutage();
         }
--- /dev/null
+++ b/gateway/src/main/java/org/catkinproxy/gateway/TableWatches.java
@@ -0,0 +1,58 @@
+package org.catkinproxy.gateway;
+
+import org.catkinproxy.serving.FleetIntervals;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+/**
+ * The watched tables of the store.
+ *
+ * <p>Polls are spread over the instances: the more there are, the longer each poll waits. Used by
+ * the event loop only.
+ */
+final class TableWatches {
+    private final Gateway mGateway;
+    private final TableStore mStore;
+    private final List<TableWatch> mWatches = new ArrayList<>();
+
+    TableWatches(Gateway gateway, TableStore store) {
+        mGateway = gateway;
+        mStore = store;
+    }
+
+    /** Starts to watch a table; {@code pollDelay} yields the delay of a poll after changes. */
+    void start(String table, TableWatch.Listener listener, Supplier<Duration> pollDelay) {
+        TableWatch.PollPolicy pollPolicy =
+                new TableWatch.PollPolicy() {
+                    @Override
+                    public Duration pollTimeout() {
+                        return FleetIntervals.pollTimeout(
+                                mGateway.instanceCount(), mGateway.random());
+                    }
+
+                    @Override
+                    public Duration pollDelay() {
+                        return pollDelay.get();
+                    }
+                };
+        mWatches.add(TableWatch.start(mGateway.loop(), mStore, table, listener, pollPolicy));
+    }
+
+    /** Returns the version of the newest change seen in each watched table, by table name. */
+    Map<String, Long> versions() {
+        return mWatches.stream()
+                .collect(Collectors.toMap(TableWatch::table, TableWatch::newestRowVersion));
+    }
+
+    /** Handles a peer's report that it has seen {@code version} of a table. */
+    void onVersionHint(String table, long version) {
+        mWatches.stream()
+                .filter(watch -> watch.table().equals(table))
+                .forEach(watch -> watch.onVersionHint(version));
+    }
+}
