Keep the connection to a watched table in one class

ConfigWatcher and UpstreamTracker each held the same flag and the same three log records for the store's responses, failures and missed changes. TableConnection holds them now; only the name of the table differs. The events and their fields are unchanged.

--- a/gateway/src/main/java/org/catkinproxy/gateway/ConfigWatcher.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ConfigWatcher.java
@@ -16,13 +16,14 @@
  */
 final class ConfigWatcher implements TableWatch.Listener {
     private final Gateway mGateway;
+    private final TableConnection mConnection;
     private final DesiredVersions mDesiredVersions;
     private Optional<ServingConfig> mConfig = Optional.empty();
-    private boolean mConnected;
     private boolean mInitialReadDone;
 
     ConfigWatcher(Gateway gateway, Duration outdatedWeightsGrace) {
         mGateway = gateway;
+        mConnection = new TableConnection(gateway.log(), "operators");
         mDesiredVersions = DesiredVersions.of(outdatedWeightsGrace.toNanos());
     }
 
@@ -32,7 +33,7 @@
 
     /** Returns whether the last poll of the table succeeded. */
     boolean isConnected() {
-        return mConnected;
+        return mConnection.isConnected();
     }
 
     /** Returns the desired versions of weights. */
@@ -53,31 +54,17 @@
 
     @Override
     public void onConnected() {
-        if (!mConnected) {
-            mConnected = true;
-            mGateway.log().record(GatewayEvent.STORE_REGAINED, "table", "operators");
-        }
+        mConnection.onConnected();
     }
 
     @Override
     public void onBehind(long known, long hinted) {
-        mGateway.log()
-                .record(
-                        GatewayEvent.STORE_BEHIND,
-                        "table",
-                        "operators",
-                        "known",
-                        known,
-                        "told",
-                        hinted);
+        mConnection.onBehind(known, hinted);
     }
 
     @Override
     public void onDisconnected(CatkinException reason) {
-        if (mConnected) {
-            mConnected = false;
-            mGateway.log().record(GatewayEvent.STORE_LOST, "table", "operators", "reason", reason);
-        }
+        mConnection.onDisconnected(reason);
     }
 
     private void apply(TableRow row) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
@@ -47,6 +47,7 @@
     private static final Duration MAX_PAUSE = Duration.ofMinutes(5);
 
     private final Gateway mGateway;
+    private final TableConnection mConnection;
     private final UpstreamRegistry mRegistry;
     private final Map<ServiceId, Map<InstanceId, UpstreamState>> mStates = new HashMap<>();
 
@@ -61,11 +62,11 @@
                         }
                     });
 
-    private boolean mConnected;
     private boolean mLoaded;
 
     UpstreamTracker(Gateway gateway, Duration upstreamDrainTime) {
         mGateway = gateway;
+        mConnection = new TableConnection(gateway.log(), "upstreams");
         long peerOutageGraceNanos = (long) (PEER_OUTAGE_GRACE_SHARE * upstreamDrainTime.toNanos());
         mRegistry =
                 UpstreamRegistry.create(RECONNECT_GRACE, Duration.ofNanos(peerOutageGraceNanos));
@@ -78,7 +79,7 @@
 
     /** Returns whether the last poll of the table succeeded. */
     boolean isConnected() {
-        return mConnected;
+        return mConnection.isConnected();
     }
 
     /**
@@ -209,32 +210,18 @@
     @Override
     public void onConnected() {
         mRegistry.onStoreAvailable(mGateway.now());
-        if (!mConnected) {
-            mConnected = true;
-            mGateway.log().record(GatewayEvent.STORE_REGAINED, "table", "upstreams");
-        }
+        mConnection.onConnected();
     }
 
     @Override
     public void onBehind(long known, long hinted) {
-        mGateway.log()
-                .record(
-                        GatewayEvent.STORE_BEHIND,
-                        "table",
-                        "upstreams",
-                        "known",
-                        known,
-                        "told",
-                        hinted);
+        mConnection.onBehind(known, hinted);
     }
 
     @Override
     public void onDisconnected(CatkinException reason) {
         mRegistry.onStoreUnavailable();
-        if (mConnected) {
-            mConnected = false;
-            mGateway.log().record(GatewayEvent.STORE_LOST, "table", "upstreams", "reason", reason);
-        }
+        mConnection.onDisconnected(reason);
     }
 
     private Optional<Upstream> parse(TableRow row) {
