Separate the placement of a request from its course

What finds its upstreams (first attempt, retry, backup, admission under load) is now RequestPlacement. No change of behaviour.

--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -4,22 +4,17 @@
 import org.catkinproxy.id.ServiceId;
 import org.catkinproxy.quarantine.Quarantine;
 import org.catkinproxy.serving.AdmissionPolicy;
-import org.catkinproxy.serving.CallKind;
-import org.catkinproxy.serving.EngineLimits;
 import org.catkinproxy.serving.LimitWaitPolicy;
-import org.catkinproxy.serving.Prompt;
 import org.catkinproxy.serving.RetryAfterPolicy;
 import org.catkinproxy.serving.RetryPolicy;
 import org.catkinproxy.serving.Route;
 import org.catkinproxy.serving.SendFailure;
 import org.catkinproxy.serving.UpstreamChooser;
-import org.catkinproxy.serving.UpstreamState;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 
-import java.util.Collection;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ScheduledFuture;
@@ -61,16 +56,8 @@
     private final AttemptHistory mHistory;
     private final UpstreamFeedback mFeedback;
     private final ServerSentEventSplitter mEventSplitter;
-    private final Optional<UpstreamChooser.PlacementRequest> mPlacementRequest;
-
+    private final RequestPlacement mPlacement;
     private UpstreamAttempt mAttempt;
-
-    /**
-     * Whether the engine copies the run's KV cache to a backup engine as it grows, which is done
-     * for streams that are not safe to retry.
-     */
-    private final boolean mBackupEnabled;
-
     private boolean mResumesFromBackup;
     private boolean mStreaming;
 
@@ -95,30 +82,13 @@
         mService = request.service();
         mHistory = new AttemptHistory(gateway, route(), gateway.retryBudget(mService));
         mFeedback = new UpstreamFeedback(gateway, request.head().prompt(), mLog);
-        mPlacementRequest = request.head().prompt().map(this::placementRequest);
-        mBackupEnabled = mPlacementRequest.isPresent() && isUnrepeatableStream();
-    }
-
-    private boolean isUnrepeatableStream() {
-        return route().kind() == CallKind.STREAM && !route().isSafeToRetry();
+        mPlacement = new RequestPlacement(gateway, request, mHistory, mEventSplitter, mDeadline);
     }
 
     private Route route() {
         return mRequest.route();
     }
 
-    private UpstreamChooser.PlacementRequest placementRequest(Prompt prompt) {
-        double fetchNanosPerToken =
-                mGateway.engineLimits(mService).map(EngineLimits::fetchNanosPerToken).orElse(0.0);
-        return new UpstreamChooser.PlacementRequest(
-                prompt,
-                mRequest.cacheScope(),
-                mGateway.desiredVersions(),
-                fetchNanosPerToken,
-                mGateway.promptStoreView(prompt),
-                mDeadline);
-    }
-
     /** Starts the first attempt. */
     void start() {
         mGateway.addExchange(this);
@@ -229,12 +199,12 @@
             return;
         }
         long now = mGateway.now();
-        Optional<UpstreamChooser.Choice> choice = choose(now);
+        Optional<UpstreamChooser.Choice> choice = mPlacement.choose(now);
         if (choice.isEmpty()) {
             waitOrGiveUp(now);
             return;
         }
-        AdmissionPolicy.Verdict verdict = decideAdmission(choice.get(), now);
+        AdmissionPolicy.Verdict verdict = mPlacement.decideAdmission(choice.get(), now);
         if (verdict.admits()) {
             startAttempt(choice.get());
         } else {
@@ -270,20 +240,6 @@
         }
     }
 
-    /**
-     * Applies the admission policy to new prompts only: other requests, retries and resumed streams
-     * are admitted under any load.
-     */
-    private AdmissionPolicy.Verdict decideAdmission(UpstreamChooser.Choice choice, long now) {
-        if (mPlacementRequest.isEmpty()
-                || mHistory.attempts() > 0
-                || mRequest.head().lastEventId().isPresent()) {
-            return AdmissionPolicy.Verdict.ADMIT;
-        }
-        return AdmissionPolicy.decide(
-                route(), choice.queueWaitNanos(), choice.firstTokenNanos(), mDeadline - now);
-    }
-
     private void refuseForLoad(UpstreamChooser.Choice choice, AdmissionPolicy.Verdict verdict) {
         long waitMillis = (long) (choice.queueWaitNanos() / NANOS_PER_MILLI);
         refuseForWait(
@@ -308,12 +264,12 @@
                 new UpstreamAttempt(
                         mGateway,
                         mRequest,
-                        mPlacementRequest,
+                        mPlacement.request(),
                         choice,
                         new UpstreamAttempt.SendOptions(
                                 lastEventId,
                                 mResumesFromBackup,
-                                mBackupEnabled,
+                                mPlacement.isBackupEnabled(),
                                 mHistory.wasSentTo(choice.target().upstream())),
                         mEventSplitter,
                         mDeadline,
@@ -327,14 +283,6 @@
         return mStreaming ? mDeadline : mBeginDeadline;
     }
 
-    private Optional<UpstreamChooser.Choice> choose(long now) {
-        Collection<UpstreamState> states = mGateway.upstreamStates(mService);
-        return mPlacementRequest.isEmpty()
-                ? mGateway.chooser().chooseUpstream(states, mHistory.tried(), now)
-                : mGateway.chooser()
-                        .chooseEngine(states, mHistory.tried(), mPlacementRequest.get(), now);
-    }
-
     @Override
     public void onAttemptFailed(UpstreamAttempt attempt, SendFailure failure, String reason) {
         long now = mGateway.now();
@@ -354,7 +302,10 @@
             giveUp(ErrorCode.NO_UPSTREAM, reason);
             return;
         }
-        Optional<UpstreamChooser.Choice> backup = chooseBackup(attempt, failure, now);
+        Optional<UpstreamChooser.Choice> backup =
+                mResumesFromBackup
+                        ? Optional.empty()
+                        : mPlacement.chooseBackup(attempt, failure, now);
         if (backup.isPresent()) {
             mResumesFromBackup = true;
             mEventSplitter.discardPartialEvent();
@@ -436,39 +387,6 @@
                 .orElse(true);
     }
 
-    /** Returns the engine with a backup of a broken run's KV cache if the run may resume there. */
-    private Optional<UpstreamChooser.Choice> chooseBackup(
-            UpstreamAttempt attempt, SendFailure failure, long now) {
-        boolean enabled =
-                !mResumesFromBackup
-                        && mBackupEnabled
-                        && attempt.isSent()
-                        && !haveWeightsChanged(attempt);
-        boolean hasBegun = mEventSplitter.lastEventId().isPresent();
-        if (!enabled
-                || !RetryPolicy.mayResumeFromBackup(route(), failure, hasBegun, mDeadline - now)) {
-            return Optional.empty();
-        }
-        return attempt.backup()
-                .flatMap(b -> mGateway.upstreamState(b))
-                .filter(
-                        s ->
-                                s.isAvailable(now)
-                                        && s.knownVersion(mRequest.head().prompt().get())
-                                                == attempt.weightsVersion())
-                .filter(s -> mHistory.tryCharge())
-                .map(UpstreamChooser.Choice::of);
-    }
-
-    /**
-     * Returns whether the weights changed during the run: it must not resume from a backup that was
-     * partly computed with other weights.
-     */
-    private boolean haveWeightsChanged(UpstreamAttempt attempt) {
-        int version = attempt.upstreamState().knownVersion(mRequest.head().prompt().orElseThrow());
-        return mEventSplitter.hasWeightsVersionChanged() || version != attempt.weightsVersion();
-    }
-
     private void armTimer(long at) {
         if (mTimer != null) {
             mTimer.cancel(false);
@@ -496,7 +414,9 @@
 
     /** Abandons a stalled attempt if the budget allows a retry, and lets it continue otherwise. */
     private void onStalled(UpstreamAttempt attempt, long now) {
-        if (!attempt.isPaused() && hasAlternative(attempt, now) && mHistory.tryChargeInAdvance()) {
+        if (!attempt.isPaused()
+                && mPlacement.hasAlternative(attempt, now)
+                && mHistory.tryChargeInAdvance()) {
             onAttemptFailed(
                     attempt,
                     SendFailure.SILENT,
@@ -506,16 +426,6 @@
         }
     }
 
-    /** Returns whether another upstream that was not tried may get the request. */
-    private boolean hasAlternative(UpstreamAttempt attempt, long now) {
-        return mGateway.upstreamStates(mService).stream()
-                .filter(s -> s.acceptsRequests(now))
-                .map(UpstreamState::upstream)
-                .filter(u -> !u.id().equals(attempt.upstream().id()))
-                .filter(u -> !mHistory.tried().contains(u.id()))
-                .anyMatch(u -> mGateway.limitGuard().maySend(u, now));
-    }
-
     private long nextTimerAt() {
         if (mAttempt == null) {
             return mDeadline;
@@ -529,7 +439,7 @@
      * be retried nor resume from a backup.
      */
     private long stalledAt(UpstreamAttempt attempt) {
-        boolean hasBackup = mBackupEnabled && mStreaming && !mResumesFromBackup;
+        boolean hasBackup = mPlacement.isBackupEnabled() && mStreaming && !mResumesFromBackup;
         boolean mayRetry = mHistory.mayRunAgain();
         return attempt.isSent() && (hasBackup || mayRetry)
                 ? attempt.stalledAt(mStreaming)
@@ -651,7 +561,7 @@
     private boolean tryChargeRetryElsewhere(UpstreamAttempt attempt) {
         long now = mGateway.now();
         return !mCallerGone
-                && hasAlternative(attempt, now)
+                && mPlacement.hasAlternative(attempt, now)
                 && mHistory.tryChargeInAdvanceOfError(sendDeadline() - now);
     }
 
