Say that streams which may not be repeated never stall

The condition that would have let them stall once begun never held: their timer is set as the request is sent, when no event has arrived. StalledStreamTest shows that they stay at a silent engine. No change of behaviour.

--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -435,13 +435,11 @@
     }
 
     /**
-     * Returns when the attempt counts as stalled, which is the deadline if the request can neither
-     * be retried nor resume from a backup.
+     * Returns when the attempt counts as stalled, which is the deadline if the request may not run
+     * again: its backup may lack the run, and the silence of an upstream ends no response.
      */
     private long stalledAt(UpstreamAttempt attempt) {
-        boolean hasBackup = mPlacement.isBackupEnabled() && mStreaming && !mResumesFromBackup;
-        boolean mayRetry = mHistory.mayRunAgain();
-        return attempt.isSent() && (hasBackup || mayRetry)
+        return attempt.isSent() && mHistory.mayRunAgain()
                 ? attempt.stalledAt(mStreaming)
                 : mDeadline;
     }
