A stream that may have waited has its whole time

Streams were cut before their deadlines, around planned stops and at other times: how long a request may have waited for the event loop is an upper bound, and it was taken off the time of the response as well. Found by the soak of planned stops (EARLY_TIMEOUT: a stream with 9 s left was cut 0.55 s early by a loop that had been late). Class: a bound meant for the decision to send, used to end what was sent.

The deadline of a stream now counts from when its request was read; whether it is sent at all still goes by the bound. A caller whose time is over leaves, which ends the stream.

Evidence: LoopDelayTest.streamThatMayHaveWaitedHasItsWholeTime failed before and passes now.

--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -4,6 +4,7 @@
 import org.catkinproxy.id.ServiceId;
 import org.catkinproxy.quarantine.Quarantine;
 import org.catkinproxy.serving.AdmissionPolicy;
+import org.catkinproxy.serving.CallKind;
 import org.catkinproxy.serving.LimitWaitPolicy;
 import org.catkinproxy.serving.RetryAfterPolicy;
 import org.catkinproxy.serving.RetryPolicy;
@@ -46,7 +47,14 @@
     private final CallerConnection mConnection;
     private final AdmittedRequest mRequest;
     private final RequestLog mLog;
+
+    /** When the request arrived at the earliest: it may have waited until the loop read it. */
     private final long mArrivedAt;
+
+    /**
+     * When the request ends. A stream counts as if it had not waited, as its end would cut it off;
+     * its caller, who has events, leaves when the time is over.
+     */
     private final long mDeadline;
 
     /** When the caller gives up unless its response has begun, at the latest the deadline. */
@@ -75,8 +83,10 @@
         mLog = new RequestLog(gateway, request);
         mEventSplitter =
                 new ServerSentEventSplitter(gateway.headerCodec().weightsVersionEventField());
-        mArrivedAt = gateway.now() - connection.maxWaitNanos();
-        mDeadline = mArrivedAt + request.timeoutNanos();
+        long readAt = gateway.now();
+        mArrivedAt = readAt - connection.maxWaitNanos();
+        boolean isStream = route().kind() == CallKind.STREAM;
+        mDeadline = (isStream ? readAt : mArrivedAt) + request.timeoutNanos();
         long patienceNanos = request.route().callerPatience().toNanos();
         mBeginDeadline = mArrivedAt + Math.min(request.timeoutNanos(), patienceNanos);
         mService = request.service();
