A request that is still received at the end of a planned stop is refused

Callers who sent slow bodies when the instance ended were reset without a response (RESET in the soak of planned stops: 68 of 14511 requests). The request has not run, and is now refused as such, with a Retry-After; the rest of its body is discarded.

--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -181,7 +181,7 @@
             mBody.addComponent(true, content.content().retain());
         }
         if (mBody.readableBytes() > mGateway.limits().maxBodyBytes()) {
-            refuseAndClose(ErrorCode.BODY_TOO_LARGE);
+            refuseAndClose(ErrorCode.BODY_TOO_LARGE, 0);
         } else if (content instanceof LastHttpContent) {
             startExchange();
         }
@@ -200,9 +200,7 @@
         } catch (CatkinException e) {
             body.release();
             mGateway.logRefusal(request.headers(), e);
-            sendError(
-                    e.code(),
-                    RetryAfterPolicy.retryAfterMillis(0, Long.MAX_VALUE, mGateway.random()));
+            sendError(e.code(), retryAfterMillis());
         }
     }
 
@@ -210,16 +208,27 @@
         boolean headTooLarge =
                 cause instanceof TooLongHttpHeaderException
                         || cause instanceof TooLongHttpLineException;
-        refuseAndClose(headTooLarge ? ErrorCode.HEAD_TOO_LARGE : ErrorCode.MALFORMED_HEAD);
+        refuseAndClose(headTooLarge ? ErrorCode.HEAD_TOO_LARGE : ErrorCode.MALFORMED_HEAD, 0);
     }
 
     /** Refuses a request of which the caller may still send a part. */
-    private void refuseAndClose(ErrorCode code) {
+    private void refuseAndClose(ErrorCode code, long retryAfterMillis) {
         dropRequest();
         mCloseAfterResponse = true;
         discardInput();
         mGateway.log().record(GatewayEvent.REQUEST_REFUSED, "code", code.wireName());
-        sendError(code, 0);
+        sendError(code, retryAfterMillis);
+    }
+
+    /** Refuses a request whose rest would arrive after the end of the process. */
+    void refusePartialRequest() {
+        if (mExchange == null && mPipelined.isEmpty() && isReceiving()) {
+            refuseAndClose(ErrorCode.STOPPING, retryAfterMillis());
+        }
+    }
+
+    private long retryAfterMillis() {
+        return RetryAfterPolicy.retryAfterMillis(0, Long.MAX_VALUE, mGateway.random());
     }
 
     /** Discards what follows; the connection ends with the response. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -306,9 +306,10 @@
         return mExchanges.isEmpty() && mConnections.stream().allMatch(CallerConnection::isSettled);
     }
 
-    /** Answers the open requests whose responses have not begun, as the process ends. */
+    /** Answers all requests whose responses have not begun, as the process ends. */
     void endOpenRequests() {
         List.copyOf(mExchanges).forEach(Exchange::endForStop);
+        List.copyOf(mConnections).forEach(CallerConnection::refusePartialRequest);
     }
 
     /** Logs what the end of the process cuts off. */
