Let parts of the gateway ask the tracker of upstreams themselves

Gateway passed on seven calls to UpstreamTracker, and held the tracking of engines' caches, which only the tracker uses. It returns the tracker now; what Exchange calls stays.

--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -45,9 +45,6 @@
  * <p>Must only be used on its event loop, except for {@link #stop}, which any thread may call.
  */
 public final class Gateway {
-    /** Cache event subscribers assumed per engine while its service is not configured. */
-    private static final int DEFAULT_MAX_EVENT_SUBSCRIBERS = 8;
-
     private static final long SWEEP_INTERVAL_MILLIS = 250;
 
     private final EventLoop mLoop;
@@ -380,49 +377,17 @@
         return mConfigWatcher.desiredVersions();
     }
 
-    List<Upstream> activeEngines() {
-        return mUpstreamTracker.activeEngines();
-    }
-
-    List<UpstreamState> engineStates() {
-        return mUpstreamTracker.engineStates();
+    UpstreamTracker upstreamTracker() {
+        return mUpstreamTracker;
     }
 
     Collection<UpstreamState> upstreamStates(ServiceId service) {
         return mUpstreamTracker.states(service);
     }
 
-    boolean isCurrent(UpstreamState state) {
-        return mUpstreamTracker.isCurrent(state);
-    }
-
     /** Returns the state of an upstream process, empty if it is no longer listed. */
     Optional<UpstreamState> upstreamState(Upstream upstream) {
-        return upstreamStates(upstream.service()).stream()
-                .filter(s -> s.upstream().isSameIncarnation(upstream))
-                .findFirst();
-    }
-
-    /** Handles an upstream's notice that it leaves. */
-    void onUpstreamLeaving(UpstreamState state) {
-        mUpstreamTracker.onLeaving(state);
-    }
-
-    /** Handles an upstream's notice that it wants no requests for a time. */
-    void onUpstreamPause(UpstreamState state, RetryAfter retryAfter) {
-        mUpstreamTracker.onPause(state, retryAfter);
-    }
-
-    void trackCache(UpstreamState state) {
-        int maxEventSubscribers =
-                engineLimits(state.upstream().service())
-                        .map(EngineLimits::maxEventSubscribers)
-                        .orElse(DEFAULT_MAX_EVENT_SUBSCRIBERS);
-        mCacheTracker.track(
-                state.upstream().address(),
-                state.promptCache(),
-                maxEventSubscribers,
-                () -> isCurrent(state));
+        return mUpstreamTracker.state(upstream);
     }
 
     /** Returns the prompt store responsible for a prompt, empty if there is none. */
@@ -453,10 +418,6 @@
                                 mSettings.retryWindow().toNanos()));
     }
 
-    List<UpstreamState> allUpstreamStates() {
-        return mUpstreamTracker.allStates();
-    }
-
     /** Returns the number of requests that all instances are known to have open at an upstream. */
     int openRequestsAt(Upstream upstream) {
         int own = upstreamState(upstream).map(UpstreamState::inFlight).orElse(0);
--- a/gateway/src/main/java/org/catkinproxy/gateway/LimitGuard.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/LimitGuard.java
@@ -86,7 +86,7 @@
         }
         updateInstances();
         mLimits.expire(
-                mGateway.allUpstreamStates().stream()
+                mGateway.upstreamTracker().allStates().stream()
                         .map(s -> UpstreamStart.of(s.upstream()))
                         .collect(Collectors.toSet()),
                 mGateway.now());
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
@@ -78,7 +78,7 @@
 
     private Map<InstanceId, PeerLoads.Load> loadByUpstream() {
         Map<InstanceId, PeerLoads.Load> loadByUpstream = new HashMap<>();
-        for (UpstreamState state : mGateway.allUpstreamStates()) {
+        for (UpstreamState state : mGateway.upstreamTracker().allStates()) {
             if (state.inFlight() > 0 && loadByUpstream.size() < MAX_UPSTREAMS_PER_HEARTBEAT) {
                 loadByUpstream.put(
                         state.upstream().id(),
--- a/gateway/src/main/java/org/catkinproxy/gateway/RolloutBroadcast.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RolloutBroadcast.java
@@ -66,7 +66,7 @@
 
     private void apply(RolloutState state) {
         long now = mGateway.now();
-        for (UpstreamState engine : mGateway.engineStates()) {
+        for (UpstreamState engine : mGateway.upstreamTracker().engineStates()) {
             InstanceId id = engine.upstream().id();
             state.confirmedVersions()
                     .getOrDefault(id, Map.of())
--- a/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
@@ -83,7 +83,7 @@
 
     private void tick() {
         Map<ModelId, Integer> desired = mGateway.desiredVersions().newest();
-        List<Upstream> engines = mGateway.activeEngines();
+        List<Upstream> engines = mGateway.upstreamTracker().activeEngines();
         boolean needed = engines.stream().anyMatch(e -> mRollout.isOutdated(e, desired));
         long now = mGateway.now();
         boolean stoppingWithoutLease =
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -281,10 +281,11 @@
     /** Records what the upstream says of requests that it wants from now on. */
     private void recordNotices(ResponseHead head) {
         if (head.leaving()) {
-            mGateway.onUpstreamLeaving(upstreamState());
+            mGateway.upstreamTracker().onLeaving(upstreamState());
         }
         if (mResponse.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-            head.retryAfter().ifPresent(r -> mGateway.onUpstreamPause(upstreamState(), r));
+            head.retryAfter()
+                    .ifPresent(r -> mGateway.upstreamTracker().onPause(upstreamState(), r));
         }
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
@@ -5,6 +5,7 @@
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.id.ServiceId;
+import org.catkinproxy.serving.EngineLimits;
 import org.catkinproxy.serving.Upstream;
 import org.catkinproxy.serving.UpstreamRegistry;
 import org.catkinproxy.serving.UpstreamStart;
@@ -46,6 +47,9 @@
     /** Limit for the time for which an upstream gets no requests; it is asked again after that. */
     private static final Duration MAX_PAUSE = Duration.ofMinutes(5);
 
+    /** Cache event subscribers assumed per engine while its service is not configured. */
+    private static final int DEFAULT_MAX_EVENT_SUBSCRIBERS = 8;
+
     private final Gateway mGateway;
     private final TableConnection mConnection;
     private final UpstreamRegistry mRegistry;
@@ -147,6 +151,13 @@
         return mStates.getOrDefault(service, Map.of()).values();
     }
 
+    /** Returns the state of an upstream process, empty if it is no longer listed. */
+    Optional<UpstreamState> state(Upstream upstream) {
+        return states(upstream.service()).stream()
+                .filter(s -> s.upstream().isSameIncarnation(upstream))
+                .findFirst();
+    }
+
     /** Returns the states of all upstreams. */
     List<UpstreamState> allStates() {
         return mStates.values().stream().flatMap(states -> states.values().stream()).toList();
@@ -158,7 +169,7 @@
     }
 
     /** Returns whether {@code state} is still in use, and not removed or replaced. */
-    boolean isCurrent(UpstreamState state) {
+    private boolean isCurrent(UpstreamState state) {
         Upstream upstream = state.upstream();
         return mStates.getOrDefault(upstream.service(), Map.of()).get(upstream.id()) == state;
     }
@@ -291,7 +302,7 @@
             newState.recordLeaving();
         }
         if (!upstream.weightsVersions().isEmpty()) {
-            mGateway.trackCache(newState);
+            trackCache(newState);
         }
         mGateway.log()
                 .record(
@@ -306,6 +317,19 @@
                         newState.isLeaving());
     }
 
+    private void trackCache(UpstreamState state) {
+        int maxEventSubscribers =
+                mGateway.engineLimits(state.upstream().service())
+                        .map(EngineLimits::maxEventSubscribers)
+                        .orElse(DEFAULT_MAX_EVENT_SUBSCRIBERS);
+        mGateway.cacheTracker()
+                .track(
+                        state.upstream().address(),
+                        state.promptCache(),
+                        maxEventSubscribers,
+                        () -> isCurrent(state));
+    }
+
     private boolean dropIfUnlisted(UpstreamState state, Set<InstanceId> listed) {
         if (listed.contains(state.upstream().id())) {
             return false;
