Endless responses of upstreams stay within the memory

Reported by other operators: a worker that sends bytes without end, in a head or a body, fills the memory of the machine that called it, and other clients lose their requests with it.

Cause: limits counted the bytes of bodies, not what they cost. A head of 64 KiB may be of thousands of lines, with several objects each. The composite buffer copies the whole body every 16 pieces. An event that waits for a slow caller was a slice of the buffer in which it was received, and kept it.

BodyBuffer copies the pieces of a full response into one buffer, limits their number, and its capacity is what the common budget counts. Events are copied. The decoder joins only what it has not decoded with what arrives. A head has 16 KiB at most.

--- a/gateway/src/main/java/org/catkinproxy/gateway/ServerSentEventSplitter.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ServerSentEventSplitter.java
@@ -1,6 +1,7 @@
 package org.catkinproxy.gateway;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 
@@ -79,9 +80,12 @@
 
     /**
      * Returns the bytes of {@code buffer} up to {@code end} and keeps those from {@code next} on.
+     * The events are copied: they may wait for a slow caller, and a slice of the received buffer
+     * would keep all of it in memory.
      */
     private ByteBuf takeUntil(ByteBuf buffer, int end, int next) {
-        ByteBuf events = buffer.readRetainedSlice(end - buffer.readerIndex());
+        int length = end - buffer.readerIndex();
+        ByteBuf events = ByteBufAllocator.DEFAULT.buffer(length).writeBytes(buffer, length);
         buffer.readerIndex(next);
         keepPartialEvent(buffer, buffer);
         return events;
--- a/gateway/src/main/java/org/catkinproxy/gateway/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StrictResponseDecoder.java
@@ -1,5 +1,7 @@
 package org.catkinproxy.gateway;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -17,7 +19,10 @@
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_LINE_BYTES = 8 * 1024;
-    private static final int MAX_HEAD_BYTES = 64 * 1024;
+
+    /** Limit for a head; the objects of one with short lines need many times its size. */
+    private static final int MAX_HEAD_BYTES = 16 * 1024;
+
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
     private boolean mRequestOpen;
@@ -25,6 +30,33 @@
 
     StrictResponseDecoder() {
         super(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
+        setCumulator(StrictResponseDecoder::join);
+    }
+
+    /**
+     * Joins the bytes that are not decoded yet with those that have just arrived.
+     *
+     * <p>The usual cumulators append to a buffer that keeps what was decoded and never shrinks as
+     * long as data ends in the middle of a line. What is not decoded yet is a line at most, so
+     * copying it costs little.
+     */
+    private static ByteBuf join(ByteBufAllocator allocator, ByteBuf undecoded, ByteBuf arrived) {
+        if (!arrived.isReadable()) {
+            arrived.release();
+            return undecoded;
+        }
+        if (!undecoded.isReadable()) {
+            undecoded.release();
+            return arrived;
+        }
+        try {
+            ByteBuf joined = allocator.buffer(undecoded.readableBytes() + arrived.readableBytes());
+            joined.writeBytes(undecoded).writeBytes(arrived);
+            undecoded.release();
+            return joined;
+        } finally {
+            arrived.release();
+        }
     }
 
     /** Starts to accept the response to a request of the given method. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -9,8 +9,6 @@
 import org.catkinproxy.serving.UpstreamState;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -83,7 +81,7 @@
     private boolean mClosed;
     private HttpResponse mResponse;
     private ResponseHead mResponseHead;
-    private CompositeByteBuf mBody;
+    private BodyBuffer mBody;
 
     /**
      * Creates an attempt, which {@link #start} starts.
@@ -178,7 +176,7 @@
 
     /** Returns the body of a full response and passes its ownership to the caller. */
     ByteBuf takeBody() {
-        ByteBuf body = mBody;
+        ByteBuf body = mBody.bytes();
         mBody = null;
         return body;
     }
@@ -271,7 +269,7 @@
         recordNotices(head);
         mGateway.limitGuard().onResponse(upstream(), head.requestLimit());
         if (!isEventStream()) {
-            mBody = Unpooled.compositeBuffer();
+            mBody = BodyBuffer.pooled(MAX_BODY_BYTES);
         } else if (!head.isIdentified() || head.contentEncoded()) {
             mListener.onAttemptFailed(
                     this,
@@ -310,11 +308,13 @@
     }
 
     private void appendBody(ByteBuf content) {
-        mBody.addComponent(true, content);
-        if (mBody.readableBytes() > MAX_BODY_BYTES) {
-            mListener.onAttemptFailed(this, SendFailure.GARBLED, "response body is too large");
+        boolean appended = mBody.append(content);
+        content.release();
+        if (appended) {
+            mGateway.recordBufferedBytes(this, mBody.capacity());
         } else {
-            mGateway.recordBufferedBytes(this, mBody.readableBytes());
+            mListener.onAttemptFailed(
+                    this, SendFailure.GARBLED, "response body is too large or has too many pieces");
         }
     }
 
