A response to a call counts only when it is complete

Reported by other operators: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

Cause: PooledHttpClient used Netty's aggregator, which hands on a response that breaks off in its head, or whose chunks are malformed, with its status and a part of its body; the failure is noted beside it and only prevented the reuse of the connection. An order whose answer broke off after "200" counted as carried out. An interim response was taken for the response, and the next one for that of the next call. Bytes after a response were decoded while no call was open, so that their continuation reached the next call. Each response could have 4 MiB, all together had no limit: cache events without end from 24 engines used up the direct memory of a process as deployed.

The client now uses the decoder of forwarded requests, which closes the connection on any byte while no call is open, and collects the response itself. A response without a length is complete only if the request was written whole before its connection ended. All responses share a budget.

PooledHttpClientTest: four of five examples failed before; all pass. EndlessResponseMemoryTest.cacheEventsOfManyEnginesWithoutEnd failed before (eight failed reservations of direct memory), and passes.

--- a/gateway/src/main/java/org/catkinproxy/gateway/PooledHttpClient.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PooledHttpClient.java
@@ -4,25 +4,32 @@
 import org.catkinproxy.error.ErrorCode;
 import org.catkinproxy.error.Outcome;
 import org.catkinproxy.error.Step;
+import org.catkinproxy.serving.BufferBudget;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.core.SingleEmitter;
 
@@ -40,7 +47,9 @@
  * connection.
  *
  * <p>A connection is reused after a complete response and closed after any failure, so that an
- * unresponsive one costs only one timeout. Used by the event loop only.
+ * unresponsive one costs only one timeout. A response that breaks off or does not end fails its
+ * call, and bytes that belong to no call close their connection. All responses together use a
+ * limited amount of memory. Used by the event loop only.
  */
 public final class PooledHttpClient {
     /** Limit for a response; a page of rows has at most 1 MiB, apart from its encoding. */
@@ -51,8 +60,15 @@
     /** Maximum number of idle connections to one address. */
     private static final int MAX_IDLE_PER_ADDRESS = 4;
 
+    /** Limit for the bodies of all responses that are being received. */
+    private static final long MAX_BUFFERED_BYTES = 12 * 1024 * 1024;
+
+    /** Limit for the interim responses before a response. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
     private final EventLoop mLoop;
     private final Map<String, Deque<Channel>> mIdle = new HashMap<>();
+    private final BufferBudget<Call> mBufferBudget = BufferBudget.of(MAX_BUFFERED_BYTES);
 
     /**
      * A full response.
@@ -176,27 +192,24 @@
         private void send(Channel channel, DefaultFullHttpRequest request) {
             mChannel = channel;
             mSent = true;
-            channel.pipeline().get(ResponseHandler.class).mCall = this;
-            channel.writeAndFlush(request);
+            ResponseHandler handler = channel.pipeline().get(ResponseHandler.class);
+            handler.start(this, request.method());
+            channel.writeAndFlush(request).addListener(handler::onWritten);
         }
 
-        void onResponse(FullHttpResponse response) {
+        void onResponse(Response response, boolean reuse) {
             if (mDone) {
                 return;
             }
             mDone = true;
             mTimer.cancel(false);
-            boolean reuse = HttpUtil.isKeepAlive(response) && response.decoderResult().isSuccess();
-            Response result =
-                    new Response(
-                            response.status().code(), ByteBufUtil.getBytes(response.content()));
+            mBufferBudget.record(this, 0);
             release(reuse);
-            mEmitter.onSuccess(result);
+            mEmitter.onSuccess(response);
         }
 
         private void release(boolean reuse) {
             Deque<Channel> idle = mIdle.computeIfAbsent(mAddress, k -> new ArrayDeque<>());
-            mChannel.pipeline().get(ResponseHandler.class).mCall = null;
             if (reuse && idle.size() < MAX_IDLE_PER_ADDRESS) {
                 idle.addLast(mChannel);
             } else {
@@ -204,6 +217,15 @@
             }
         }
 
+        /** Records the size of the buffered body, which ends the largest call if it is too much. */
+        void recordBufferedBytes(int bytes) {
+            if (!mDone) {
+                mBufferBudget
+                        .record(this, bytes)
+                        .ifPresent(c -> c.fail("buffered responses exceed the memory limit"));
+            }
+        }
+
         /** Cancels the call unless it has ended. */
         void cancel() {
             if (!mDone) {
@@ -214,6 +236,7 @@
         private void end() {
             mDone = true;
             mTimer.cancel(false);
+            mBufferBudget.record(this, 0);
             if (mChannel != null) {
                 mChannel.close();
             }
@@ -234,39 +257,136 @@
     private static final class Initializer extends ChannelInitializer<Channel> {
         @Override
         protected void initChannel(Channel channel) {
+            StrictResponseDecoder decoder = new StrictResponseDecoder();
             channel.pipeline()
-                    .addLast(new HttpClientCodec())
-                    .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
-                    .addLast(new ResponseHandler());
+                    .addLast(decoder)
+                    .addLast(new HttpRequestEncoder())
+                    .addLast(new ResponseHandler(decoder));
         }
     }
 
-    /** Passes responses to the call that uses the connection. */
-    private static final class ResponseHandler
-            extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /**
+     * Collects the response to the call that uses the connection.
+     *
+     * <p>A response counts only when it is complete: as long as its framing says, or, without one,
+     * up to the end of a connection to which the whole request was written.
+     */
+    private static final class ResponseHandler extends ChannelInboundHandlerAdapter {
+        private final StrictResponseDecoder mDecoder;
         private Call mCall;
+        private boolean mRequestWritten;
+        private int mInterimResponses;
+        private HttpResponse mHead;
+        private BodyBuffer mBody;
+
+        ResponseHandler(StrictResponseDecoder decoder) {
+            mDecoder = decoder;
+        }
+
+        /** Starts to accept the response to a call's request. */
+        void start(Call call, HttpMethod method) {
+            mCall = call;
+            mRequestWritten = false;
+            mInterimResponses = 0;
+            mDecoder.onRequestSent(method);
+        }
+
+        void onWritten(Future<?> write) {
+            if (write.isSuccess()) {
+                mRequestWritten = true;
+            } else {
+                fail("request could not be written: " + write.cause());
+            }
+        }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            if (mCall == null) {
-                context.close();
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            try {
+                if (mCall != null && !mCall.mDone) {
+                    read((HttpObject) message);
+                }
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void read(HttpObject message) {
+            if (message.decoderResult().isFailure()) {
+                fail("response is malformed");
+                return;
+            }
+            if (message instanceof HttpResponse head) {
+                readHead(head);
+            }
+            if (message instanceof HttpContent content && mHead != null) {
+                readContent(content);
+            }
+        }
+
+        private void readHead(HttpResponse head) {
+            if (head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+                mHead = head;
+                mBody = BodyBuffer.onHeap(MAX_RESPONSE_BYTES);
+                return;
+            }
+            mInterimResponses++;
+            if (mInterimResponses > MAX_INTERIM_RESPONSES) {
+                fail("too many interim responses");
+            }
+        }
+
+        private void readContent(HttpContent content) {
+            if (!mBody.append(content.content())) {
+                fail("response is too large or has too many pieces");
                 return;
             }
-            mCall.onResponse(response);
+            mCall.recordBufferedBytes(mBody.capacity());
+            if (mCall != null && content instanceof LastHttpContent) {
+                end();
+            }
+        }
+
+        private void end() {
+            boolean endsWithConnection = mDecoder.endsWithConnection(mHead);
+            if (endsWithConnection && !mRequestWritten) {
+                fail("connection closed before the request was written");
+                return;
+            }
+            boolean hasMore = mDecoder.onResponseEnd();
+            boolean reuse = HttpUtil.isKeepAlive(mHead) && !endsWithConnection && !hasMore;
+            ByteBuf body = mBody.bytes();
+            Response response = new Response(mHead.status().code(), ByteBufUtil.getBytes(body));
+            Call call = mCall;
+            drop();
+            call.onResponse(response, reuse);
+        }
+
+        /** Ends the use of the connection by a call. */
+        private void drop() {
+            mCall = null;
+            mHead = null;
+            if (mBody != null) {
+                mBody.release();
+                mBody = null;
+            }
+        }
+
+        private void fail(String reason) {
+            Call call = mCall;
+            drop();
+            if (call != null) {
+                call.fail(reason);
+            }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            if (mCall != null) {
-                mCall.fail("connection closed before the response was complete");
-            }
+            fail("connection closed before the response was complete");
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (mCall != null) {
-                mCall.fail(String.valueOf(cause.getMessage()));
-            }
+            fail(String.valueOf(cause.getMessage()));
             context.close();
         }
     }
