The daemon's clients limit what a response may deliver

Callers saw nothing yet.

Cause: reports of engines, responses to orders and responses of the platform were read whole, without a limit. OkHttp reads the line with a chunk's size whole as well, so limits for bodies and lines don't help streams, cache events and services.

LimitedSocketFactory counts what arrives on a connection after the last byte that was sent, and fails the read above a limit, whatever part of a response it is in.

A subscription to cache events ends after 32 MiB and is followed anew, as after any break.

--- a/daemon/src/main/java/org/catkinproxy/orders/HttpEngineControl.java
+++ b/daemon/src/main/java/org/catkinproxy/orders/HttpEngineControl.java
@@ -8,6 +8,7 @@
 import org.catkinproxy.error.ErrorCode;
 import org.catkinproxy.error.Outcome;
 import org.catkinproxy.error.Step;
+import org.catkinproxy.http.LimitedSocketFactory;
 import org.catkinproxy.id.FencingNumber;
 import org.catkinproxy.id.Revision;
 import org.catkinproxy.id.Weights;
@@ -42,6 +43,9 @@
     private static final MediaType JSON = MediaType.get("application/json");
     private static final int CONFLICT = 409;
 
+    /** Limit for a response, with its head. */
+    private static final long MAX_RESPONSE_BYTES = 1024 * 1024;
+
     private final OkHttpClient mClient;
 
     private HttpEngineControl(OkHttpClient client) {
@@ -53,6 +57,7 @@
         return new HttpEngineControl(
                 new OkHttpClient.Builder()
                         .connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS))
+                        .socketFactory(LimitedSocketFactory.of(MAX_RESPONSE_BYTES))
                         .proxy(Proxy.NO_PROXY)
                         .retryOnConnectionFailure(false)
                         .followRedirects(false)
--- a/daemon/src/main/java/org/catkinproxy/platform/PlatformClient.java
+++ b/daemon/src/main/java/org/catkinproxy/platform/PlatformClient.java
@@ -10,6 +10,7 @@
 import org.catkinproxy.error.ErrorCode;
 import org.catkinproxy.error.Outcome;
 import org.catkinproxy.error.Step;
+import org.catkinproxy.http.LimitedSocketFactory;
 
 import io.reactivex.rxjava3.core.Single;
 import okhttp3.Call;
@@ -41,6 +42,10 @@
     private static final int MAX_IDLE_CONNECTIONS = 8;
     private static final int KEEP_ALIVE_SECONDS = 30;
     private static final int CONFLICT = 409;
+
+    /** Limit for a response, with its head; a sheet has at most half of it. */
+    private static final long MAX_RESPONSE_BYTES = 64L * 1024 * 1024;
+
     private static final MediaType JSON = MediaType.get("application/json");
 
     private final OkHttpClient mClient;
@@ -69,6 +74,7 @@
                         .connectionPool(
                                 new ConnectionPool(
                                         MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
+                        .socketFactory(LimitedSocketFactory.of(MAX_RESPONSE_BYTES))
                         .callTimeout(timeout)
                         .retryOnConnectionFailure(false)
                         .followRedirects(false)
--- a/daemon/src/main/java/org/catkinproxy/service/OkHttpServiceClient.java
+++ b/daemon/src/main/java/org/catkinproxy/service/OkHttpServiceClient.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 import org.catkinproxy.call.CallResponse;
+import org.catkinproxy.http.LimitedSocketFactory;
 import org.catkinproxy.id.IdempotencyKey;
 
 import io.reactivex.rxjava3.core.Single;
@@ -48,6 +49,9 @@
     /** The largest response body, in bytes, that is read; a larger response counts as lost. */
     public static final long MAX_RESPONSE_BYTES = 8L << 20;
 
+    /** The largest response, with its head and the framing of its body. */
+    private static final long MAX_WIRE_BYTES = 2 * MAX_RESPONSE_BYTES;
+
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final int MAX_REQUESTS = 512;
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -68,6 +72,7 @@
                         .dispatcher(dispatcher)
                         .connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS))
                         .protocols(List.of(Protocol.HTTP_1_1))
+                        .socketFactory(LimitedSocketFactory.of(MAX_WIRE_BYTES))
                         .proxy(Proxy.NO_PROXY)
                         .retryOnConnectionFailure(false)
                         .followRedirects(false)
--- a/daemon/src/main/java/org/catkinproxy/upstream/HttpEngineClient.java
+++ b/daemon/src/main/java/org/catkinproxy/upstream/HttpEngineClient.java
@@ -8,6 +8,7 @@
 import org.catkinproxy.error.ErrorCode;
 import org.catkinproxy.error.Outcome;
 import org.catkinproxy.error.Step;
+import org.catkinproxy.http.LimitedSocketFactory;
 import org.catkinproxy.id.RequestId;
 import org.catkinproxy.route.EngineReport;
 import org.catkinproxy.route.RouteEvent;
@@ -47,6 +48,12 @@
     /** Lines over this are no event of an engine. */
     private static final long MAX_LINE_BYTES = 4L * 1_024 * 1_024;
 
+    /** Limit for a report of an engine or a list of what it has cached, with its head. */
+    private static final long MAX_CONTROL_BYTES = 16L * 1_024 * 1_024;
+
+    /** Limit for one stream of events, which may be followed by another. */
+    private static final long MAX_STREAM_BYTES = 32L * 1_024 * 1_024;
+
     private static final int NOT_FOUND = 404;
     private static final int CACHE_EVENT_SILENCE_MILLIS = 4_000;
     private static final MediaType JSON = MediaType.get("application/json");
@@ -64,6 +71,7 @@
                         .followSslRedirects(false)
                         .connectTimeout(timeouts.connectMillis(), TimeUnit.MILLISECONDS)
                         .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+                        .socketFactory(LimitedSocketFactory.of(MAX_STREAM_BYTES))
                         .build();
         mStreams =
                 base.newBuilder()
@@ -73,6 +81,7 @@
                 base.newBuilder()
                         .callTimeout(timeouts.controlMillis(), TimeUnit.MILLISECONDS)
                         .connectionPool(new ConnectionPool())
+                        .socketFactory(LimitedSocketFactory.of(MAX_CONTROL_BYTES))
                         .build();
         mEvents =
                 base.newBuilder()
