A late event loop brings the end of a planned stop forward

The end takes several tasks of the loop. Refusals and last reads were lost with the process.

The lateness of the loop, twice and at most 0.8 s, is now taken off the time of the end and of what is accepted. StopPolicyTest.lateLoopBringsTheEndForward; the other cases count a loop that keeps up, as before.

--- a/core/src/main/java/org/catkinproxy/serving/StopPolicy.java
+++ b/core/src/main/java/org/catkinproxy/serving/StopPolicy.java
@@ -23,6 +23,12 @@
     /** Time by which the instance ends before the platform would kill it. */
     private static final Duration KILL_MARGIN = Duration.ofMillis(400);
 
+    /** Tasks of the event loop between the decision to end and the end, beyond the margin. */
+    private static final int LATE_STEPS = 2;
+
+    /** The most that a late loop brings the end forward: streams go on for most of the stop. */
+    private static final Duration MAX_ALLOWANCE = Duration.ofMillis(800);
+
     /** Time in which a response is made and written, after a request's timeout at the latest. */
     private static final Duration RESPONSE_MARGIN = Duration.ofMillis(300);
 
@@ -35,10 +41,12 @@
      * Returns whether a request is accepted.
      *
      * @param elapsed the time since the beginning of the stop
+     * @param loopDelay how late the event loop runs its tasks
      * @param timeout the time until the request has a response in any case
      */
-    public boolean accepts(Duration elapsed, Duration timeout) {
-        Duration latestResponse = elapsed.plus(timeout).plus(RESPONSE_MARGIN);
+    public boolean accepts(Duration elapsed, Duration loopDelay, Duration timeout) {
+        Duration latestResponse =
+                elapsed.plus(timeout).plus(RESPONSE_MARGIN).plus(allowance(loopDelay));
         return elapsed.compareTo(ACCEPT_ALL) < 0 || latestResponse.compareTo(latestEnd()) <= 0;
     }
 
@@ -46,11 +54,18 @@
      * Returns whether the instance ends.
      *
      * @param elapsed the time since the beginning of the stop
+     * @param loopDelay how late the event loop runs its tasks, which the end takes several of
      * @param isDrained whether all callers have their responses
      */
-    public boolean ends(Duration elapsed, boolean isDrained) {
+    public boolean ends(Duration elapsed, Duration loopDelay, boolean isDrained) {
         boolean mayEndEarly = elapsed.compareTo(MIN_DRAIN) >= 0;
-        return (mayEndEarly && isDrained) || elapsed.compareTo(latestEnd()) >= 0;
+        return (mayEndEarly && isDrained)
+                || elapsed.plus(allowance(loopDelay)).compareTo(latestEnd()) >= 0;
+    }
+
+    private static Duration allowance(Duration loopDelay) {
+        Duration lateness = loopDelay.multipliedBy(LATE_STEPS);
+        return lateness.compareTo(MAX_ALLOWANCE) < 0 ? lateness : MAX_ALLOWANCE;
     }
 
     /** Returns the time from the beginning of the stop after which the instance ends. */
--- a/core/src/test/java/org/catkinproxy/serving/StopPolicyTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/StopPolicyTest.java
@@ -19,31 +19,40 @@
 
     @Example
     void requestThatTimesOutAfterTheEndIsRefused() {
-        assertThat(mPolicy.accepts(millis(6_200), millis(1_000))).isTrue();
-        assertThat(mPolicy.accepts(millis(6_400), millis(1_000))).isFalse();
-        assertThat(mPolicy.accepts(millis(7_500), millis(1_000))).isFalse();
+        assertThat(mPolicy.accepts(millis(6_200), Duration.ZERO, millis(1_000))).isTrue();
+        assertThat(mPolicy.accepts(millis(6_400), Duration.ZERO, millis(1_000))).isFalse();
+        assertThat(mPolicy.accepts(millis(7_500), Duration.ZERO, millis(1_000))).isFalse();
     }
 
     @Example
     void allRequestsAreAcceptedAtFirst() {
-        assertThat(mPolicy.accepts(millis(2_800), millis(15_000))).isTrue();
-        assertThat(mPolicy.accepts(millis(3_000), millis(15_000))).isFalse();
+        assertThat(mPolicy.accepts(millis(2_800), Duration.ZERO, millis(15_000))).isTrue();
+        assertThat(mPolicy.accepts(millis(3_000), Duration.ZERO, millis(15_000))).isFalse();
     }
 
     @Property(seed = "20261205")
     void acceptedRequestHasItsResponseBeforeTheEnd(
             @ForAll @IntRange(min = 2_900, max = 8_000) int elapsed,
             @ForAll @IntRange(min = 1, max = 9_000) int timeout) {
-        if (mPolicy.accepts(millis(elapsed), millis(timeout))) {
-            assertThat(mPolicy.ends(millis(elapsed + timeout), false)).isFalse();
+        if (mPolicy.accepts(millis(elapsed), Duration.ZERO, millis(timeout))) {
+            assertThat(mPolicy.ends(millis(elapsed + timeout), Duration.ZERO, false)).isFalse();
         }
     }
 
     @Example
     void instanceEndsOnceDrainedButNotAtOnce() {
-        assertThat(mPolicy.ends(millis(3_000), true)).isFalse();
-        assertThat(mPolicy.ends(millis(3_200), true)).isTrue();
-        assertThat(mPolicy.ends(millis(7_500), false)).isFalse();
-        assertThat(mPolicy.ends(millis(7_700), false)).isTrue();
+        assertThat(mPolicy.ends(millis(3_000), Duration.ZERO, true)).isFalse();
+        assertThat(mPolicy.ends(millis(3_200), Duration.ZERO, true)).isTrue();
+        assertThat(mPolicy.ends(millis(7_500), Duration.ZERO, false)).isFalse();
+        assertThat(mPolicy.ends(millis(7_700), Duration.ZERO, false)).isTrue();
+    }
+
+    /** Guards against an event loop that stays late and misses the platform's kill. */
+    @Example
+    void lateLoopBringsTheEndForward() {
+        assertThat(mPolicy.ends(millis(7_300), millis(200), false)).isTrue();
+        assertThat(mPolicy.ends(millis(7_100), millis(200), false)).isFalse();
+        assertThat(mPolicy.ends(millis(6_700), millis(5_000), false)).isFalse();
+        assertThat(mPolicy.accepts(millis(6_200), millis(200), millis(1_000))).isFalse();
     }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
@@ -80,7 +80,9 @@
      * @throws CatkinException if the request has to go to another instance
      */
     void checkAccepts(Duration timeout) {
-        if (mBegun && (mEnding || !mPolicy.accepts(elapsed().plus(mHeardAfter), timeout))) {
+        if (mBegun
+                && (mEnding
+                        || !mPolicy.accepts(elapsed().plus(mHeardAfter), loopDelay(), timeout))) {
             throw CatkinException.notRun(
                     ErrorCode.STOPPING,
                     Step.STOP,
@@ -93,9 +95,13 @@
         return Duration.ofNanos(mGateway.now() - mRequestedAt);
     }
 
+    private Duration loopDelay() {
+        return Duration.ofNanos(mGateway.loopDelay().turnNanos(mGateway.now()));
+    }
+
     private void checkDrained(Runnable onStopped) {
         Duration elapsed = elapsed();
-        if (!mPolicy.ends(elapsed, mGateway.isDrained())) {
+        if (!mPolicy.ends(elapsed, loopDelay(), mGateway.isDrained())) {
             Duration untilEnd = mPolicy.latestEnd().minus(elapsed);
             schedule(() -> checkDrained(onStopped), min(POLL_INTERVAL, untilEnd));
             return;
