The beginning of a request does not hold up a planned stop for long

An empty line is no request, and the rest of one of which nothing has arrived for 2 s is no longer waited for.

--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -53,6 +53,9 @@
      */
     private static final int MAX_PIPELINED_MESSAGES = 64;
 
+    /** Time without input after which a partly received request does not hold up a stop. */
+    private static final long STALLED_REQUEST_NANOS = 2_000_000_000L;
+
     /** Time for which input is discarded after the last response of a connection. */
     private static final long DISCARD_MILLIS = 1_000;
 
@@ -401,7 +404,13 @@
 
     /** Returns whether the caller has its responses and has not begun another request. */
     boolean isSettled() {
-        return mExchange == null && !isReceiving() && unwrittenBytes() == 0;
+        boolean waits = isReceiving() && !isReceptionStalled();
+        return mExchange == null && !waits && unwrittenBytes() == 0;
+    }
+
+    private boolean isReceptionStalled() {
+        return mPipelined.isEmpty()
+                && mGateway.now() - mDecoder.lastInputAt() > STALLED_REQUEST_NANOS;
     }
 
     /** Returns whether at least a part of another request has arrived. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/StrictRequestDecoder.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StrictRequestDecoder.java
@@ -19,6 +19,7 @@
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
     private boolean mWithinRequest;
+    private long mLastInputAt;
 
     StrictRequestDecoder(int maxHeadBytes) {
         super(maxHeadBytes, maxHeadBytes, MAX_CHUNK_BYTES);
@@ -26,13 +27,23 @@
 
     /** Returns whether at least a part of a request has arrived that was not passed on whole. */
     boolean isWithinRequest() {
-        return mWithinRequest || actualReadableBytes() > 0;
+        return mWithinRequest || hasUndecodedInput();
+    }
+
+    private boolean hasUndecodedInput() {
+        return actualReadableBytes() > 0 && internalBuffer().forEachByte(b -> b <= ' ') >= 0;
+    }
+
+    /** Returns when input arrived last, in ns of the monotonic clock. */
+    long lastInputAt() {
+        return mLastInputAt;
     }
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
             throws Exception {
-        mWithinRequest = true;
+        mWithinRequest |= in.forEachByte(b -> b <= ' ') >= 0;
+        mLastInputAt = System.nanoTime();
         super.decode(context, in, out);
         if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
             mWithinRequest = false;
