A request that has lost its caller is ended without a response

During a stop, a run that goes on without its caller and whose prompt was quarantined threw as it was ended: the error was written to a closed connection, whose decoder was gone. Nothing is written to a caller that has left, and the line request_cut now says for how long the upstream has been quiet.

--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -239,7 +239,9 @@
         mDiscarding = true;
         mPipelined.forEach(ReferenceCountUtil::release);
         mPipelined.clear();
-        mChannel.pipeline().remove(mDecoder);
+        if (mChannel.pipeline().context(mDecoder) != null) {
+            mChannel.pipeline().remove(mDecoder);
+        }
     }
 
     private void discard(Object message) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Exchange.java
@@ -159,7 +159,9 @@
 
     /** Logs that the end of the process cuts off this request. */
     void logCut() {
-        mLog.cut(mHistory.attempts(), mStreaming, mGateway.now() - mArrivedAt);
+        long now = mGateway.now();
+        long quietNanos = mAttempt == null ? 0 : now - mAttempt.lastActivityAt();
+        mLog.cut(mHistory.attempts(), mStreaming, now - mArrivedAt, quietNanos);
     }
 
     /** Pauses or resumes reading from the upstream as the caller's connection fills or drains. */
@@ -476,15 +478,21 @@
     private void refuse(ErrorCode code, String reason, long retryAfterMillis) {
         long leftMillis = (mDeadline - mGateway.now()) / NANOS_PER_MILLI;
         mLog.refused(code.wireName(), reason, mHistory.attempts(), leftMillis, retryAfterMillis);
-        mConnection.sendError(code, retryAfterMillis);
+        sendError(code, retryAfterMillis);
         finish("refused");
     }
 
     private void fail(ErrorCode code, String reason) {
-        mConnection.sendError(code, 0);
+        sendError(code, 0);
         finish(code.wireName() + ": " + reason);
     }
 
+    private void sendError(ErrorCode code, long retryAfterMillis) {
+        if (!mCallerGone) {
+            mConnection.sendError(code, retryAfterMillis);
+        }
+    }
+
     private void finish(String outcome) {
         if (mDone) {
             return;
--- a/gateway/src/main/java/org/catkinproxy/gateway/RequestLog.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RequestLog.java
@@ -43,7 +43,12 @@
         mGateway.log().record(GatewayEvent.CALLER_GONE, "request", mRequest, "sends", sends);
     }
 
-    void cut(int sends, boolean begun, long openNanos) {
+    /**
+     * Writes that the end of the process cuts the request off.
+     *
+     * @param quietNanos the time since the upstream has sent something
+     */
+    void cut(int sends, boolean begun, long openNanos, long quietNanos) {
         mGateway.log()
                 .record(
                         GatewayEvent.REQUEST_CUT,
@@ -56,7 +61,9 @@
                         "begun",
                         begun,
                         "open_ms",
-                        millis(openNanos));
+                        millis(openNanos),
+                        "quiet_ms",
+                        millis(quietNanos));
     }
 
     void placed(UpstreamChooser.Choice choice) {
