Input behind the last response of a connection does not cut it

The input is no longer read instead, and the connection ends once the response is written, as any other.

--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -250,7 +250,8 @@
         }
         ReferenceCountUtil.release(message);
         if (mDiscardedBytes > MAX_DISCARDED_BYTES) {
-            mChannel.close();
+            // What is not read any more resets the connection, once the response is written.
+            mChannel.config().setAutoRead(false);
         }
     }
 
