--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -73,6 +73,10 @@
     private boolean mDiscarding;
 
     private long mDiscardedBytes;
+
+    /** Output that the caller had not taken at the last check for the idle timeout. */
+    private long mUnwrittenBytes;
+
     private HttpRequest mRequest;
     private CompositeByteBuf mBody;
     private Exchange mExchange;
@@ -375,12 +379,16 @@
         return mGateway.loopDelay().maxWaitNanos(mGateway.now(), mAcceptedAt, mAcceptTurnNanos);
     }
 
-    /** Closes the connection if no request was open and nothing arrived for the idle timeout. */
+    /**
+     * Closes the connection if no request was open, nothing arrived and the caller took nothing of
+     * its response for the idle timeout.
+     */
     void closeIfTimedOut(long now) {
-        if (mExchange != null) {
-            return;
-        }
-        if (now - mLastActiveAt > mGateway.limits().idleTimeout().toNanos()) {
+        long unwrittenBytes = unwrittenBytes();
+        if (mExchange != null || unwrittenBytes != mUnwrittenBytes) {
+            mUnwrittenBytes = unwrittenBytes;
+            mLastActiveAt = now;
+        } else if (now - mLastActiveAt > mGateway.limits().idleTimeout().toNanos()) {
             mChannel.close();
         }
     }
