No more is read from a caller than is handled and taken

Reading paused neither for a caller that did not take its responses, as the channel filled while the request was still open (12 of 12 requests with 7 MB each were run), nor for one with many queued messages, whose connection was closed with the open request unanswered. Both pause reading now.

CallerConnectionTest.requestsOfCallerThatDoesNotReadAreNotRun and pipelinedBodyInManyChunksDoesNotEndTheOpenRequest failed before, and pass now.

--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -47,10 +47,7 @@
  * only.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
-    /**
-     * Messages queued while a request is open; the connection of a caller that sends more is
-     * closed.
-     */
+    /** Messages queued while a request is open; no more is read until they have been handled. */
     private static final int MAX_PIPELINED_MESSAGES = 64;
 
     /** Time without input after which a partly received request does not hold up a stop. */
@@ -136,7 +133,13 @@
         if (mExchange != null) {
             mExchange.onCallerWritabilityChanged(writable);
         }
-        mChannel.config().setAutoRead(writable || mExchange != null);
+        updateAutoRead();
+    }
+
+    private void updateAutoRead() {
+        boolean takesResponses = mChannel.isWritable() || mExchange != null;
+        boolean takesRequests = mPipelined.size() < MAX_PIPELINED_MESSAGES;
+        mChannel.config().setAutoRead(takesResponses && takesRequests);
     }
 
     @Override
@@ -145,11 +148,9 @@
             discard(message);
         } else if (mExchange == null && mPipelined.isEmpty()) {
             handle((HttpObject) message);
-        } else if (mPipelined.size() < MAX_PIPELINED_MESSAGES) {
-            mPipelined.addLast((HttpObject) message);
         } else {
-            ReferenceCountUtil.release(message);
-            mChannel.close();
+            mPipelined.addLast((HttpObject) message);
+            updateAutoRead();
         }
     }
 
@@ -361,6 +362,7 @@
     private void onResponseEnd(ChannelFuture lastWrite, boolean closing) {
         mExchange = null;
         mLastActiveAt = mGateway.now();
+        updateAutoRead();
         if (closing) {
             closeAfter(lastWrite);
         } else {
@@ -372,6 +374,7 @@
         while (mExchange == null && !mPipelined.isEmpty()) {
             handle(mPipelined.pollFirst());
         }
+        updateAutoRead();
     }
 
     /** Returns the longest time, in ns, that a request may have waited which is read now. */
