Count all turns that a connection waits in the listener's queue

Callers saw: requests ran at engines for nobody. After all instances had lost power, some were sent over half a second after their callers had left (GONE).

Cause: a turn of the loop accepts 16 connections. One that is behind them waits for several turns, and counted as having waited for the last one. And the wait was forgotten where it was first counted: the periodic task that ran late catches up with a run in each of the next turns, and the first of these said that the loop keeps up. Data of a connection accepted in that turn counted as having waited for no time at all.

The first data of a connection counts the wait of the connection until the task has run twice since the loop accepted it: the loop has looked for data in between.

--- a/core/src/main/java/org/catkinproxy/serving/LoopDelayEstimator.java
+++ b/core/src/main/java/org/catkinproxy/serving/LoopDelayEstimator.java
@@ -11,6 +11,10 @@
  * periodic task of the loop that runs late. Data may have arrived at the beginning of a turn, and
  * counts as if it had: a request that is sent after its deadline costs an upstream work for nobody.
  *
+ * <p>The task runs at most once in a turn, also when it is behind by several intervals. So what is
+ * read now was not there yet when the task ran for the last time but one, if its connection was
+ * accepted before that.
+ *
  * <p>Not thread-safe; all times are in nanoseconds of the owner's monotonic clock.
  */
 public final class LoopDelayEstimator {
@@ -19,11 +23,13 @@
 
     private final long mIntervalNanos;
     private long mLastTickAt;
+    private long mPreviousTickAt;
     private long mLastLateGapNanos;
 
     private LoopDelayEstimator(long intervalNanos, long now) {
         mIntervalNanos = intervalNanos;
         mLastTickAt = now;
+        mPreviousTickAt = now;
     }
 
     /**
@@ -39,6 +45,7 @@
     /** Records a run of the periodic task. */
     public void onTick(long now) {
         mLastLateGapNanos = isLate(now) ? now - mLastTickAt : 0;
+        mPreviousTickAt = mLastTickAt;
         mLastTickAt = now;
     }
 
@@ -54,16 +61,27 @@
         return isLate(now) ? Math.max(now - mLastTickAt, mLastLateGapNanos) : mLastLateGapNanos;
     }
 
+    /**
+     * Returns the longest time, in ns, that something may have waited which the loop finds at
+     * {@code now} and did not find in its last turn.
+     */
+    public long maxWaitNanos(long now) {
+        return (isLate(now) ? now - mLastTickAt : 0) + mLastLateGapNanos;
+    }
+
     /**
      * Returns the longest time, in ns, that data may have waited which is read at {@code now}.
      *
      * @param acceptedAt when the loop accepted the connection of the data
-     * @param acceptTurnNanos {@link #turnNanos} at that time; data on a connection that was just
-     *     accepted may have waited as long as the connection
+     * @param acceptWaitNanos how long the connection may have waited until then; the data may have
+     *     been there as long if the loop has not looked for it before
      */
-    public long maxWaitNanos(long now, long acceptedAt, long acceptTurnNanos) {
-        long turnNanos = turnNanos(now);
-        long sinceAccepted = now - acceptedAt;
-        return sinceAccepted <= turnNanos ? sinceAccepted + acceptTurnNanos : turnNanos;
+    public long maxWaitNanos(long now, long acceptedAt, long acceptWaitNanos) {
+        long waitNanos = maxWaitNanos(now);
+        if (acceptedAt - mPreviousTickAt <= 0) {
+            return waitNanos;
+        }
+        boolean keptUp = waitNanos == 0 && acceptWaitNanos == 0;
+        return keptUp ? 0 : now - acceptedAt + acceptWaitNanos;
     }
 }
--- a/core/src/test/java/org/catkinproxy/serving/LoopDelayEstimatorTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/LoopDelayEstimatorTest.java
@@ -52,4 +52,28 @@
         assertThat(mEstimator.maxWaitNanos(3_500 * MILLI, 10 * MILLI, acceptTurn))
                 .isEqualTo(1_500 * MILLI);
     }
+
+    /** Guards against forgetting a wait because the task that ran late is catching up. */
+    @Example
+    void firstDataOfConnectionAcceptedWhileTheTaskCatchesUpHasWaitedAsLongAsTheConnection() {
+        mEstimator.onTick(2_500 * MILLI);
+        long acceptedAt = 2_510 * MILLI;
+        long acceptWait = mEstimator.maxWaitNanos(acceptedAt);
+        mEstimator.onTick(2_520 * MILLI);
+
+        assertThat(mEstimator.maxWaitNanos(2_530 * MILLI, acceptedAt, acceptWait))
+                .isEqualTo(20 * MILLI + 2_500 * MILLI);
+
+        mEstimator.onTick(2_540 * MILLI);
+        assertThat(mEstimator.maxWaitNanos(2_550 * MILLI, acceptedAt, acceptWait)).isEqualTo(0);
+    }
+
+    /** Guards against counting only the longer one of two long turns that follow each other. */
+    @Example
+    void dataThatArrivedBeforeTheTaskRanLateMayHaveWaitedForTwoTurns() {
+        mEstimator.onTick(INTERVAL);
+        mEstimator.onTick(INTERVAL + 1_000 * MILLI);
+
+        assertThat(mEstimator.maxWaitNanos(INTERVAL + 1_700 * MILLI)).isEqualTo(1_700 * MILLI);
+    }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -80,7 +80,7 @@
 
     private long mLastActiveAt;
     private long mAcceptedAt;
-    private long mAcceptTurnNanos;
+    private long mAcceptWaitNanos;
 
     CallerConnection(Gateway gateway, StrictRequestDecoder decoder) {
         mGateway = gateway;
@@ -91,7 +91,7 @@
     public void channelActive(ChannelHandlerContext context) {
         mChannel = context.channel();
         mAcceptedAt = mGateway.now();
-        mAcceptTurnNanos = mGateway.loopDelay().turnNanos(mAcceptedAt);
+        mAcceptWaitNanos = mGateway.listenerQueue().waitNanos();
         mLastActiveAt = mAcceptedAt;
         mGateway.addConnection(this);
     }
@@ -357,7 +357,7 @@
 
     /** Returns the longest time, in ns, that a request may have waited which is read now. */
     long maxWaitNanos() {
-        return mGateway.loopDelay().maxWaitNanos(mGateway.now(), mAcceptedAt, mAcceptTurnNanos);
+        return mGateway.loopDelay().maxWaitNanos(mGateway.now(), mAcceptedAt, mAcceptWaitNanos);
     }
 
     /** Closes the connection if no request was open and nothing arrived for the idle timeout. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerListener.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerListener.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
@@ -23,6 +24,11 @@
                 .group(gateway.loop())
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
+                .option(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator()
+                                .maxMessagesPerRead(ListenerQueue.MAX_ACCEPTS_PER_TURN))
+                .handler(gateway.listenerQueue())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(
                         new ChannelInitializer<Channel>() {
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -83,6 +83,7 @@
             LoopDelayEstimator.of(
                     TimeUnit.MILLISECONDS.toNanos(SWEEP_INTERVAL_MILLIS), System.nanoTime());
     private final StartQueue mStartQueue;
+    private final ListenerQueue mListenerQueue;
     private Channel mCallerListener;
 
     private Gateway(
@@ -126,6 +127,7 @@
                         mRolloutBroadcast);
         mStopSequence = new StopSequence(this, settings.stopGrace());
         mStartQueue = new StartQueue(loop, mLoopDelay);
+        mListenerQueue = new ListenerQueue(loop, mLoopDelay);
         mBufferBudget = BufferBudget.of(settings.maxBufferedResponseBytes());
     }
 
@@ -348,6 +350,10 @@
         return mLoopDelay;
     }
 
+    ListenerQueue listenerQueue() {
+        return mListenerQueue;
+    }
+
     StartQueue startQueue() {
         return mStartQueue;
     }
