Fleet simulation of quarantines: the same verdict each run

The requests pending at an engine were in a hash set by identity, whose order differs from run to run: a seed that broke the bound in one run kept it in the next. They are now in the order in which they came.

--- a/core/src/test/java/org/catkinproxy/quarantine/QuarantineFleetTest.java
+++ b/core/src/test/java/org/catkinproxy/quarantine/QuarantineFleetTest.java
@@ -16,6 +16,7 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -89,7 +90,7 @@
             mEngineStarts = new int[load.engines()];
             mEngineUpAt = new long[load.engines()];
             for (int i = 0; i < load.engines(); i++) {
-                mPending.add(new HashSet<>());
+                mPending.add(new LinkedHashSet<>());
             }
             long interval = FleetIntervals.heartbeatInterval(load.instances()).toMillis();
             for (int i = 0; i < load.instances(); i++) {
