Quarantine a crashing part that crashes engines beyond its combination

Callers saw: engines that returned from a crash crashed again under prompts with the same part. More than three requests with it reached engines over three seconds after the fifth crash (BUDGET), where many such prompts come a second.

Cause: with several bad prompts waiting at each engine, all engines crash within half a second, before any prompt has shown which parts are sound. The culprit is then sought among parts with few requests, and one that most bad prompts of that moment share looks likelier than the crashing part. What is quarantined is the combination of both. It explains all crashes so far, so that prompts with the crashing part and another one needed two more crashes of their own, and those with a third one again.

Evidence: PromptQuarantineTest.partThatCrashesWithoutTheOthersOfItsCombination... failed before.

Why this works: the crashes that led to a combination are evidence against each of its parts. One more crash under a prompt with only some of them decides, if no prompt with that part was ever proven sound.

--- a/core/src/main/java/org/catkinproxy/quarantine/PromptQuarantine.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/PromptQuarantine.java
@@ -27,8 +27,9 @@
  * <p>A part is suspect as long as no prompt with it has been proven sound since a failure. It is
  * quarantined after failures of several requests at several engines. The quarantine covers the
  * combination of parts that all these failures have in common and that are suspect. Prompts that
- * have only some of them are served, which shows which of them are sound. A failure beside one that
- * a quarantine explains, at the same engine, is explained as well.
+ * have only some of them are served, which shows which of them are sound; if one of these prompts
+ * fails too, a part of it that was never proven sound is quarantined by itself. A failure beside
+ * one that a quarantine explains, at the same engine, is explained as well.
  *
  * <p>What instances know of a failure or of a quarantine only shrinks once it is known, by the
  * parts that are proven sound, so that reports may arrive in any order and any number of times. Not
@@ -288,6 +289,7 @@
 
     private List<Suspect> suspects(long now) {
         Set<UpstreamStart> explained = explainedEngines(now);
+        Set<Long> combined = combinedParts(now);
         Map<Long, List<PromptFailure>> failuresByPart = new HashMap<>();
         for (PromptFailure failure : mFailures.values()) {
             for (long part : failure.suspects()) {
@@ -300,11 +302,20 @@
                                 Suspect.of(
                                         e.getKey(),
                                         mProvenAt.containsKey(e.getKey()),
+                                        combined.contains(e.getKey()),
                                         e.getValue(),
                                         explained))
                 .toList();
     }
 
+    /** Returns the parts that quarantines in force cover only together with other ones. */
+    private Set<Long> combinedParts(long now) {
+        return mQuarantines.values().stream()
+                .filter(q -> q.isInForce(now) && q.parts().size() > 1)
+                .flatMap(q -> q.parts().stream())
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the engines at which a prompt failed that a quarantine covers. */
     private Set<UpstreamStart> explainedEngines(long now) {
         return mFailures.values().stream()
--- a/core/src/main/java/org/catkinproxy/quarantine/Suspect.java
+++ b/core/src/main/java/org/catkinproxy/quarantine/Suspect.java
@@ -14,12 +14,14 @@
  *
  * @param part the part's id
  * @param wasProven whether a prompt with the part was proven sound before the failures
+ * @param isInCombination whether the part is one of several that a quarantine covers together
  * @param failures the failures of prompts with the part since then
  * @param unexplained those of them at engines where no prompt failed that a quarantine covers
  */
 record Suspect(
         long part,
         boolean wasProven,
+        boolean isInCombination,
         List<PromptFailure> failures,
         List<PromptFailure> unexplained) {
     /** Failures, each sent after the one before, that are needed. */
@@ -31,16 +33,21 @@
     /** Failures among them that no quarantine explains. */
     private static final int MIN_UNEXPLAINED_FAILURES = 2;
 
+    /** The same for a part of a combination that has already been quarantined. */
+    private static final int MIN_UNEXPLAINED_FAILURES_OF_COMBINATION = 1;
+
     /** Requests among the failures: one request alone may be unlucky. */
     private static final int MIN_REQUESTS = 2;
 
     /**
-     * Orders suspects, the likeliest culprit first: a part that was never proven sound, and of
-     * several the one that explains most crashes with few requests. Many requests with a common
+     * Orders suspects, the likeliest culprit first: a part that was never proven sound, of several
+     * one whose combination with others is quarantined while engines crash without these others,
+     * and then the one that explains most crashes with few requests. Many requests with a common
      * part fail beside the culprit in each crash.
      */
     static final Comparator<Suspect> LIKELIEST_FIRST =
             Comparator.comparing(Suspect::wasProven)
+                    .thenComparing(s -> !s.isLikeliestOfCombination())
                     .thenComparingInt(s -> requestCount(s.failures) - 2 * crashCount(s.failures));
 
     /** Copies the lists. */
@@ -57,11 +64,12 @@
     static Suspect of(
             long part,
             boolean wasProven,
+            boolean isInCombination,
             List<PromptFailure> failures,
             Set<UpstreamStart> explained) {
         List<PromptFailure> unexplained =
                 failures.stream().filter(f -> !explained.contains(f.engine())).toList();
-        return new Suspect(part, wasProven, failures, unexplained);
+        return new Suspect(part, wasProven, isInCombination, failures, unexplained);
     }
 
     /** Returns the number of engines that crashed and are not explained. */
@@ -72,10 +80,21 @@
     /** Returns whether the failures cannot be a coincidence. */
     boolean hasEnoughEvidence() {
         return requestCount(failures) >= MIN_REQUESTS
-                && requestCount(unexplained) >= MIN_REQUESTS
+                && requestCount(unexplained) >= (isLikeliestOfCombination() ? 1 : MIN_REQUESTS)
                 && successiveCount(failures)
                         >= (wasProven ? MIN_FAILURES_IF_DOUBTFUL : MIN_FAILURES)
-                && successiveCount(unexplained) >= MIN_UNEXPLAINED_FAILURES;
+                && successiveCount(unexplained)
+                        >= (isLikeliestOfCombination()
+                                ? MIN_UNEXPLAINED_FAILURES_OF_COMBINATION
+                                : MIN_UNEXPLAINED_FAILURES);
+    }
+
+    /**
+     * Returns whether the failures that led to the quarantine of a combination are evidence against
+     * the part by itself. A part that was sound before may only be in the combination by chance.
+     */
+    private boolean isLikeliestOfCombination() {
+        return isInCombination && !wasProven;
     }
 
     /**
--- a/core/src/test/java/org/catkinproxy/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/catkinproxy/quarantine/PromptQuarantineTest.java
@@ -260,4 +260,33 @@
         assertThat(isQuarantined(tenMinutes, CRASHING)).isTrue();
         assertThat(isQuarantined(tenMinutes + 300, CRASHING)).isFalse();
     }
+
+    /** Guards against learning one combination after the other, each by crashes of its own. */
+    @Example
+    void partThatCrashesWithoutTheOthersOfItsCombinationIsQuarantinedByItself() {
+        succeed(0, COMMON);
+        fail("e1", "r1", 0, 100, COMMON, RARE, CRASHING);
+        fail("e2", "r2", 110, 200, COMMON, RARE, CRASHING);
+        fail("e3", "r3", 210, 300, COMMON, RARE, CRASHING);
+        assertThat(isQuarantined(300, COMMON, RARE, CRASHING)).isTrue();
+        assertThat(isQuarantined(300, COMMON, OTHER_RARE, CRASHING)).isFalse();
+
+        fail("e4", "r4", 3_300, 3_400, COMMON, OTHER_RARE, CRASHING);
+        assertThat(isQuarantined(3_400, COMMON, 4, CRASHING)).isTrue();
+        assertThat(isQuarantined(3_400, COMMON, OTHER_RARE)).isFalse();
+        assertThat(isQuarantined(3_400, COMMON, RARE)).isFalse();
+    }
+
+    /** A sound part may be in the combination because all bad prompts happened to have it. */
+    @Example
+    void provenPartOfCombinationIsNotBlamedForOneMoreCrash() {
+        succeed(0, COMMON);
+        fail("e1", "r1", 0, 100, COMMON, CRASHING);
+        fail("e2", "r2", 110, 200, COMMON, CRASHING);
+        fail("e3", "r3", 210, 300, COMMON, CRASHING);
+        assertThat(isQuarantined(300, COMMON, CRASHING)).isTrue();
+
+        assertThat(fail("e4", "r4", 3_300, 3_400, COMMON, RARE)).isEmpty();
+        assertThat(isQuarantined(3_400, COMMON)).isFalse();
+    }
 }
--- a/core/src/test/java/org/catkinproxy/quarantine/QuarantineFleetTest.java
+++ b/core/src/test/java/org/catkinproxy/quarantine/QuarantineFleetTest.java
@@ -45,6 +45,7 @@
 
     private static final Load SMALL = new Load(6, 6, 25, 0.4);
     private static final Load SMALL_AND_RARE = new Load(6, 6, 10, 0.1);
+    private static final Load SMALL_AND_FREQUENT = new Load(6, 6, 30, 8);
     private static final Load LARGE = new Load(95, 59, 120, 5);
     private static final Load LARGE_AND_RARE = new Load(95, 59, 120, 0.2);
 
@@ -206,6 +207,12 @@
             witnesses.forEach(i -> mFleet.after(6, () -> report(i, mLoad.instances())));
         }
 
+        void failThirdOfEngines() {
+            for (int i = 0; i < mLoad.engines() / 3; i++) {
+                failAll(mRandom.nextInt(mLoad.engines()));
+            }
+        }
+
         private void fail(Request request, UpstreamStart start) {
             PromptQuarantine quarantine = mQuarantines[request.mInstance];
             long now = mFleet.now(request.mInstance);
@@ -252,11 +259,15 @@
             mPending.forEach(p -> p.removeIf(r -> r.mInstance == instance));
         }
 
-        void verify(String what) {
+        void verifyRequestsAfterCrashes(String what) {
             mFleet.runUntil(DAY_MILLIS);
             assertWithMessage(what + ": requests after " + CRASHES + " crashes")
                     .that(mReachedAfter)
                     .isAtMost(MAX_REQUESTS_AFTER_CRASHES);
+        }
+
+        void verify(String what) {
+            verifyRequestsAfterCrashes(what);
             assertWithMessage(what + ": sound requests refused").that(mSoundRefused).isEqualTo(0);
         }
     }
@@ -305,15 +316,22 @@
 
     @Example
     void enginesThatCrashForOtherReasonsDoNotHideThePart() {
-        playAll(
-                (day, fleet) ->
-                        fleet.every(
-                                4_000,
-                                () -> {
-                                    for (int i = 0; i < day.mLoad.engines() / 3; i++) {
-                                        day.failAll(fleet.random().nextInt(day.mLoad.engines()));
-                                    }
-                                }));
+        playAll((day, fleet) -> fleet.every(4_000, day::failThirdOfEngines));
+    }
+
+    /** Guards against learning the part with one other part after the other. */
+    @Example
+    void enginesThatAllCrashAtOnceAreNotCrashedAgainByTheSamePart() {
+        for (int seed : new int[] {42, 126}) {
+            Day day = new Day(SMALL_AND_FREQUENT, seed);
+            day.verifyRequestsAfterCrashes(SMALL_AND_FREQUENT + " seed " + seed);
+        }
+        for (int seed : new int[] {16, 19, 39, 55, 86, 92, 134, 146}) {
+            Day day = new Day(SMALL_AND_FREQUENT, seed);
+            day.mFleet.every(2_000, day::failThirdOfEngines);
+            day.verifyRequestsAfterCrashes(
+                    SMALL_AND_FREQUENT + " with other crashes, seed " + seed);
+        }
     }
 
     /** Without a bad prompt, crashes must not lead to any quarantine. */
