--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -80,6 +80,7 @@
             LoopDelayEstimator.of(
                     TimeUnit.MILLISECONDS.toNanos(SWEEP_INTERVAL_MILLIS), System.nanoTime());
     private final StartQueue mStartQueue;
+    private final ListenerQueue mListenerQueue;
     private Channel mCallerListener;
 
     private Gateway(
@@ -123,6 +124,7 @@
                         mRolloutBroadcast);
         mStopSequence = new StopSequence(this, settings.stopGrace());
         mStartQueue = new StartQueue(loop, mLoopDelay);
+        mListenerQueue = new ListenerQueue(loop, mLoopDelay);
         mBufferBudget = BufferBudget.of(settings.maxBufferedResponseBytes());
     }
 
@@ -346,6 +348,10 @@
         return mLoopDelay;
     }
 
+    ListenerQueue listenerQueue() {
+        return mListenerQueue;
+    }
+
     StartQueue startQueue() {
         return mStartQueue;
     }
