The planned stop of a daemon waits for responses to be written

A caller who reads a long response slowly got a part of it when its daemon was stopped as planned: 3,596,436 of 6,291,456 bytes in StopWithSlowCallerTest, with 102 ms from DRAINING to LEFT.

Cause: a request counts as open until its response is handed to its connection. What the connection had not written yet ended with the process.

UnwrittenResponses counts the pending writes of the callers' listener, and the stop waits for them as for open requests.

StopWithSlowCallerTest failed before and passes now.

--- a/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
+++ b/daemon/src/main/java/org/catkinproxy/daemon/Daemon.java
@@ -291,7 +291,7 @@
     }
 
     private int openRequests() {
-        return mActive.count() + mRelay.inProgressCount();
+        return mActive.count() + mRelay.inProgressCount() + mCallers.unwrittenCount();
     }
 
     private PeerLink openPeerLink(PeerHooks hooks) {
--- a/daemon/src/main/java/org/catkinproxy/http/BoundedNettyServer.java
+++ b/daemon/src/main/java/org/catkinproxy/http/BoundedNettyServer.java
@@ -1,5 +1,7 @@
 package org.catkinproxy.http;
 
+import com.google.common.base.Ticker;
+
 import io.jooby.Jooby;
 import io.jooby.Server;
 import io.jooby.ServerOptions;
@@ -45,6 +47,7 @@
     private final HttpLimits mLimits;
     private final Optional<Supplier<SslContext>> mTls;
     private final ConnectionCloseHandler mCloseHandler = new ConnectionCloseHandler();
+    private final UnwrittenResponses mUnwritten = new UnwrittenResponses(Ticker.systemTicker());
     private final EventLoopGroup mAcceptGroup;
     private final EventLoopGroup mIoGroup;
     private final ExecutorService mWorkers;
@@ -71,6 +74,11 @@
         return mCloseHandler;
     }
 
+    /** Returns the number of writes to callers that are pending and get on. */
+    int unwrittenCount() {
+        return mUnwritten.count();
+    }
+
     /** Returns the port that the started server is bound to. */
     int port() {
         return ((InetSocketAddress) mServerChannel.localAddress()).getPort();
@@ -136,6 +144,7 @@
                             channel.pipeline()
                                     .addLast("ssl", tls.get().newHandler(channel.alloc())));
             channel.pipeline()
+                    .addLast("unwritten", mUnwritten)
                     .addLast("flush", new FlushConsolidationHandler())
                     .addLast(
                             "codec",
--- a/daemon/src/main/java/org/catkinproxy/http/HttpListener.java
+++ b/daemon/src/main/java/org/catkinproxy/http/HttpListener.java
@@ -73,6 +73,14 @@
         mServer.stop();
     }
 
+    /**
+     * Returns how many writes to clients are pending, so that a planned stop can wait for them;
+     * those of clients that do not read count for a limited time.
+     */
+    public int unwrittenCount() {
+        return mServer.unwrittenCount();
+    }
+
     /** Returns the port that this listener is bound to. */
     public int port() {
         return mServer.port();
