A planned stop leaves time for a signal that is delivered late

The signal reached the process 0.19 to 0.35 s late, which the process can't see, and the exit itself took up to 0.4 s, in which the kernel still took requests and then reset them. 0.25 s were left for both.

The end now begins 0.8 s before the kill, the sockets of callers are closed before the exit, and all requests are accepted for 2.5 s, so that a signal that is half a second late moves none past the 3 s that the platform excuses.

--- a/core/src/main/java/org/catkinproxy/serving/StopPolicy.java
+++ b/core/src/main/java/org/catkinproxy/serving/StopPolicy.java
@@ -14,20 +14,26 @@
  * @param grace the time from the beginning of the stop until the platform kills the instance
  */
 public record StopPolicy(Duration grace) {
-    /** Time from the beginning of the stop in which all requests are accepted. */
-    private static final Duration ACCEPT_ALL = Duration.ofMillis(2_900);
+    /**
+     * Time from the beginning of the stop in which all requests are accepted. The platform excuses
+     * 3 s, and a busy machine may deliver its signal some tenths of a second late.
+     */
+    private static final Duration ACCEPT_ALL = Duration.ofMillis(2_500);
 
     /** Minimum duration of the stop, in which most callers look up the other instances. */
     private static final Duration MIN_DRAIN = Duration.ofMillis(3_100);
 
-    /** Time by which the instance ends before the platform would kill it. */
-    private static final Duration KILL_MARGIN = Duration.ofMillis(400);
+    /**
+     * Time by which the instance ends before the platform would kill it: for a signal that is
+     * delivered late, the last steps of the stop, and the exit of the process.
+     */
+    private static final Duration KILL_MARGIN = Duration.ofMillis(800);
 
     /** Tasks of the event loop between the decision to end and the end, beyond the margin. */
     private static final int LATE_STEPS = 2;
 
     /** The most that a late loop brings the end forward: streams go on for most of the stop. */
-    private static final Duration MAX_ALLOWANCE = Duration.ofMillis(800);
+    private static final Duration MAX_ALLOWANCE = Duration.ofMillis(500);
 
     /** Time in which a response is made and written, after a request's timeout at the latest. */
     private static final Duration RESPONSE_MARGIN = Duration.ofMillis(300);
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -317,6 +317,11 @@
         mConnections.forEach(CallerConnection::logCut);
     }
 
+    /** Closes all connections of callers, as the exit of the process may take a while. */
+    void closeConnections() {
+        List.copyOf(mConnections).forEach(CallerConnection::abort);
+    }
+
     void stopListening() {
         mCallerListener.close();
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StopSequence.java
@@ -120,6 +120,7 @@
 
     private void end(Runnable onStopped) {
         mGateway.logCuts();
+        mGateway.closeConnections();
         mGateway.log().close();
         onStopped.run();
     }
