--- a/review/standins-2/src/Case.java
+++ b/review/standins-2/src/Case.java
@@ -59,6 +59,13 @@
 
     /** Writes a configuration with a route for each kind. */
     void putConfig(int version, String routes) {
+        putConfig(
+                version,
+                routes,
+                "{\"name\":\"tenant-1\",\"api-keys\":[\"" + KEY + "\"],\"isolated\":false}");
+    }
+
+    void putConfig(int version, String routes, String tenants) {
         store.put(
                 "op",
                 "config",
@@ -73,9 +80,7 @@
                         + "\"moves\":true,\"backups\":true,\"stride\":4,\"max-inflight\":12,\"pin-ms\":4000.0,\"hold-ms\":2000.0,"
                         + "\"handle_s\":5.0,\"models\":[{\"name\":\"m0\"}]}}],"
                         + "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},"
-                        + "\"tenants\":[{\"name\":\"tenant-1\",\"api-keys\":[\""
-                        + KEY
-                        + "\"],\"isolated\":false}]}");
+                        + "\"tenants\":[" + tenants + "]}");
     }
 
     static String route(String name, String prefix, String kind, String service, int timeoutMillis, int goalMillis, int attempts, String more) {
@@ -101,7 +106,19 @@
     }
 
     /** Returns the head of a request with a body of known length. */
-    static String head(String method, String path, String id, int deadlineMillis, int length, String more) {
+    static String head(
+            String method, String path, String id, int deadlineMillis, int length, String more) {
+        return head(method, path, id, deadlineMillis, length, more, KEY);
+    }
+
+    static String head(
+            String method,
+            String path,
+            String id,
+            int deadlineMillis,
+            int length,
+            String more,
+            String key) {
         return method
                 + " "
                 + path
@@ -116,7 +133,7 @@
                 + ": "
                 + deadlineMillis
                 + "\r\nAuthorization: Bearer "
-                + KEY
+                + key
                 + "\r\n"
                 + more
                 + (length > 0 ? "Content-Length: " + length + "\r\n" : "")
--- a/review/standins-2/src/GatewayProcess.java
+++ b/review/standins-2/src/GatewayProcess.java
@@ -8,13 +8,18 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** A gateway that runs as a separate process with the command of the deploy file. */
 final class GatewayProcess {
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    private static final Set<Integer> TAKEN = new HashSet<>();
+
     private final String mName;
     private final Path mFolder;
     private final int mFront = freePort();
@@ -25,6 +30,10 @@
     private Process mProcess;
 
     GatewayProcess(String name, Path folder, Store store) throws IOException {
+        this(name, folder, store.address());
+    }
+
+    GatewayProcess(String name, Path folder, String storeAddress) throws IOException {
         mName = name;
         mFolder = folder;
         ObjectNode settings = (ObjectNode) JSON.readTree(Path.of("review/standins-2/settings.json").toFile());
@@ -34,7 +43,7 @@
                 .put("ready", "127.0.0.1:" + mReady)
                 .put("directory", "127.0.0.1:" + mDirectory);
         settings.putArray("port-range").add(mPeer).add(mPeer);
-        ((ObjectNode) settings.get("provider")).put("addr", store.address());
+        ((ObjectNode) settings.get("provider")).put("addr", storeAddress);
         Files.writeString(settingsFile(), settings.toPrettyString());
     }
 
@@ -42,10 +51,26 @@
         return mFolder.resolve(mName + ".json");
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /** Returns a free port below those that outgoing connections get. */
+    private static synchronized int freePort() throws IOException {
+        for (int i = 0; i < 1_000; i++) {
+            int port = ThreadLocalRandom.current().nextInt(15_000, 30_000);
+            if (TAKEN.contains(port)) {
+                continue;
+            }
+            try (ServerSocket socket =
+                    new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                TAKEN.add(port);
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // Another process has it.
+            }
         }
+        throw new IOException("no free port");
+    }
+
+    String name() {
+        return mName;
     }
 
     int front() {
--- a/review/standins-2/src/Http.java
+++ b/review/standins-2/src/Http.java
@@ -56,8 +56,12 @@
 
     /** Reads the first line and the headers. */
     static Message readHead(InputStream in) throws IOException {
+        return readHeaders(in, readLine(in));
+    }
+
+    private static Message readHeaders(InputStream in, String start) throws IOException {
         Message message = new Message();
-        message.start = readLine(in);
+        message.start = start;
         for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
             int colon = line.indexOf(':');
             message.headers.put(
@@ -69,7 +73,15 @@
 
     /** Reads a whole message; a body has a length or comes in chunks. */
     static Message read(InputStream in) throws IOException {
-        Message message = readHead(in);
+        return readBody(in, readHead(in));
+    }
+
+    /** Reads the rest of a message whose first line was read. */
+    static Message readAfterStart(InputStream in, String start) throws IOException {
+        return readBody(in, readHeaders(in, start));
+    }
+
+    private static Message readBody(InputStream in, Message message) throws IOException {
         if ("chunked".equalsIgnoreCase(message.header("transfer-encoding"))) {
             ByteArrayOutputStream body = new ByteArrayOutputStream();
             while (true) {
