--- a/review/standins-2/src/ResumedStream.java
+++ b/review/standins-2/src/ResumedStream.java
@@ -18,8 +18,8 @@
     private static final int PIECE_MILLIS = 80;
     private static final int TIMEOUT_MILLIS = 15_000;
 
-    /** The id before the first: the worker's start in nanoseconds, as ids of ordered logs are. */
-    private static final long FIRST_ID = System.currentTimeMillis() * 1_000_000;
+    /** The id before the first: the time in milliseconds, and 20 bits for the events that follow. */
+    private static final long FIRST_ID = System.currentTimeMillis() << 20;
 
     private final Case mRun;
     private final GatewayProcess mFirst;
