--- a/review/standins-2/src/Case.java
+++ b/review/standins-2/src/Case.java
@@ -57,7 +57,7 @@
         System.exit(status);
     }
 
-    /** Writes a configuration with a route for each kind. */
+    /** Writes a configuration with the given routes, two services and one tenant. */
     void putConfig(int version, String routes) {
         putConfig(
                 version,
@@ -65,6 +65,7 @@
                 "{\"name\":\"tenant-1\",\"api-keys\":[\"" + KEY + "\"],\"isolated\":false}");
     }
 
+    /** Writes a configuration with the given routes and tenants and two services. */
     void putConfig(int version, String routes, String tenants) {
         store.put(
                 "op",
@@ -83,7 +84,16 @@
                         + "\"tenants\":[" + tenants + "]}");
     }
 
-    static String route(String name, String prefix, String kind, String service, int timeoutMillis, int goalMillis, int attempts, String more) {
+    /** Returns the JSON of a route; {@code more} adds fields. */
+    static String route(
+            String name,
+            String prefix,
+            String kind,
+            String service,
+            int timeoutMillis,
+            int goalMillis,
+            int attempts,
+            String more) {
         return "{\"name\":\""
                 + name
                 + "\",\"host\":\""
--- a/review/standins-2/src/Store.java
+++ b/review/standins-2/src/Store.java
@@ -99,7 +99,7 @@
             reply(socket, "200 OK", get(params));
         } else if (path.equals(Names.of("rows-feed"))) {
             reply(socket, "200 OK", feed(params));
-        } else if (path.equals(Names.of("rows-tx"))) {
+        } else if (path.equals(Names.of("transaction"))) {
             transact(JSON.readTree(request.body), socket);
         } else {
             reply(socket, "404 Not Found", JSON.createObjectNode());
--- a/review/standins-2/src/Worker.java
+++ b/review/standins-2/src/Worker.java
@@ -91,7 +91,8 @@
         String seal =
                 id == null
                         ? ""
-                        : Names.of("request-id") + ": " + id + "\r\n" + Names.of("seal") + ": s." + id + "\r\n";
+                        : Names.of("request-id") + ": " + id + "\r\n"
+                                + Names.of("seal") + ": s." + id + "\r\n";
         Http.write(
                 out,
                 "HTTP/1.1 "
