--- a/review/standins-2/src/HealedLink.java
+++ b/review/standins-2/src/HealedLink.java
@@ -116,10 +116,12 @@
                 client.send(Case.head("POST", "/look/x", id, TIMEOUT_MILLIS, 10, ""), new byte[10]);
                 int status = client.receive().status();
                 mServed.addAndGet(status == 200 ? 1 : 0);
-                if (sentAt - mJudgedFrom > 0 && mRemoved.equals(mRanAt.get(id))) {
-                    mLate.incrementAndGet();
-                    mRun.record("late: " + id + " of " + gateway.name() + " ran at " + mRemoved);
-                }
+                boolean late = sentAt - mJudgedFrom > 0 && mRemoved.equals(mRanAt.get(id));
+                mLate.addAndGet(late ? 1 : 0);
+                mRun.record(
+                        "sent " + id + " to " + gateway.name() + ", run at "
+                                + mRanAt.getOrDefault(id, "no worker") + ", answered " + status
+                                + (late ? ", LATE" : ""));
                 Thread.sleep(10);
             } catch (IOException | InterruptedException e) {
                 mRun.record("failed " + id + " at " + gateway.name() + ": " + e);
