Notice silent connections to the store in time: one instance polls with short waits

Cause: a poll waited up to 4.5 s with six instances and its response was awaited for 1.5 s more; nothing added the two up. A call after a failure took another idle connection of the pool, which was silent as well.

Ruled out: a peer that knew and did not tell (none had a response in between); a store that refuses (new connections were answered at once).

Change: one instance, the prober, polls with a wait of 1 s and tells the others of each change; the candidates after it take over when it is silent. A poll whose response is overdue by 0.5 s is replaced on a new connection. A call that times out or is cancelled closes the idle connections to its server. The polls of the other instances wait a third longer, so the store gets about as many calls.

--- a/core/src/main/java/org/catkinproxy/serving/FleetIntervals.java
+++ b/core/src/main/java/org/catkinproxy/serving/FleetIntervals.java
@@ -14,8 +14,8 @@
  */
 public final class FleetIntervals {
     private static final Duration MIN_POLL_TIMEOUT = Duration.ofMillis(2_000);
-    private static final Duration POLL_TIMEOUT_PER_INSTANCE = Duration.ofMillis(600);
-    private static final Duration MAX_POLL_TIMEOUT = Duration.ofSeconds(16);
+    private static final Duration POLL_TIMEOUT_PER_INSTANCE = Duration.ofMillis(800);
+    private static final Duration MAX_POLL_TIMEOUT = Duration.ofSeconds(20);
     private static final Duration NEW_ERA_DELAY_PER_INSTANCE = Duration.ofMillis(2);
     private static final Duration REWRITE_DELAY_PER_INSTANCE = Duration.ofMillis(4);
     private static final Duration UPSTREAM_POLL_DELAY_PER_INSTANCE = Duration.ofMillis(100);
@@ -39,8 +39,9 @@
     private FleetIntervals() {}
 
     /**
-     * Returns how long a poll of the store waits for changes: between 0.75 and 1.25 times the usual
-     * time for the size of the fleet, so that the polls of the instances do not synchronize.
+     * Returns how long a poll of the store waits for changes at an instance that is not the prober
+     * (see {@link ProberElection}): between 0.75 and 1.25 times the usual time for the size of the
+     * fleet, so that the polls of the instances do not synchronize.
      */
     public static Duration pollTimeout(int instances, RandomGenerator random) {
         Duration usual =
--- /dev/null
+++ b/core/src/main/java/org/catkinproxy/serving/StorePolling.java
@@ -0,0 +1,91 @@
+package org.catkinproxy.serving;
+
+import java.time.Duration;
+
+/**
+ * The waits between a change in the store, or its return, and the moment at which an instance acts
+ * on it.
+ *
+ * <p>What the store confirms has to be in force at each instance within {@link #MAX_SYNC_TIME}
+ * after the last disturbance of the store, of the links to it and of open connections. Several
+ * waits follow each other on the way, so each of them is part of a sum that this class states.
+ * Stateless and thread-safe.
+ */
+public final class StorePolling {
+    /** Time after a disturbance in which all instances know what the store holds. */
+    public static final Duration MAX_SYNC_TIME = Duration.ofSeconds(3);
+
+    /** How long the polls of the prober wait for changes. */
+    public static final Duration PROBE_WAIT = Duration.ofMillis(1_000);
+
+    /**
+     * Time after the end of a poll's wait in which its response arrives on a sound connection. A
+     * poll without one is replaced by a poll on a new connection.
+     */
+    public static final Duration MIN_RESPONSE_GRACE = Duration.ofMillis(500);
+
+    /** Limit for the time in which the response of a slow store is awaited on a connection. */
+    public static final Duration MAX_RESPONSE_GRACE = Duration.ofMillis(1_500);
+
+    /** Time within which the open poll should return a change that a peer has reported. */
+    public static final Duration HINT_GRACE = Duration.ofMillis(300);
+
+    /** Interval at which the prober is determined, and at which it reports the changes it saw. */
+    public static final Duration PROBER_INTERVAL = Duration.ofMillis(250);
+
+    /** Time for a call on a new connection to a sound store, and for a message to a peer. */
+    private static final Duration CALL_TIME = Duration.ofMillis(100);
+
+    private StorePolling() {}
+
+    /**
+     * Returns the time in which all instances have a change if all open connections to the store
+     * are silent: the prober's poll is found to be overdue and replaced, the prober reports the
+     * change, and the polls of the others are replaced.
+     *
+     * @param instances the number of instances
+     */
+    public static Duration silentConnectionsDelay(int instances) {
+        return PROBE_WAIT
+                .plus(MIN_RESPONSE_GRACE)
+                .plus(CALL_TIME)
+                .plus(reportDelay(instances))
+                .plus(CALL_TIME)
+                .plus(HINT_GRACE)
+                .plus(CALL_TIME);
+    }
+
+    /**
+     * Returns the time in which all instances have a change if the prober fails and all open
+     * connections to the store are silent: another instance takes over with new polls.
+     *
+     * @param instances the number of instances
+     */
+    public static Duration failedProberDelay(int instances) {
+        return ProberElection.maxTakeoverDelay()
+                .plus(PROBER_INTERVAL)
+                .plus(CALL_TIME)
+                .plus(reportDelay(instances))
+                .plus(CALL_TIME)
+                .plus(HINT_GRACE)
+                .plus(CALL_TIME);
+    }
+
+    private static Duration reportDelay(int instances) {
+        Duration heartbeat = FleetIntervals.heartbeatInterval(instances);
+        return heartbeat.compareTo(PROBER_INTERVAL) < 0 ? heartbeat : PROBER_INTERVAL;
+    }
+
+    /**
+     * Returns how long the response of the next poll is awaited after the end of its wait.
+     *
+     * @param lateness how long the last response came after the end of its poll's wait
+     */
+    public static Duration responseGrace(Duration lateness) {
+        Duration grace = lateness.multipliedBy(2);
+        if (grace.compareTo(MIN_RESPONSE_GRACE) < 0) {
+            return MIN_RESPONSE_GRACE;
+        }
+        return grace.compareTo(MAX_RESPONSE_GRACE) > 0 ? MAX_RESPONSE_GRACE : grace;
+    }
+}
--- a/gateway/src/main/java/org/catkinproxy/gateway/ConfigWatcher.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ConfigWatcher.java
@@ -68,6 +68,11 @@
         mConnection.onBehind(known, hinted);
     }
 
+    @Override
+    public void onOverdue() {
+        mConnection.onOverdue();
+    }
+
     @Override
     public void onDisconnected(CatkinException reason) {
         mConnection.onDisconnected(reason);
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import org.catkinproxy.serving.RequestLimits;
 import org.catkinproxy.serving.ServingConfig;
 import org.catkinproxy.serving.SharedRetryBudget;
+import org.catkinproxy.serving.StorePolling;
 import org.catkinproxy.serving.Upstream;
 import org.catkinproxy.serving.UpstreamChooser;
 import org.catkinproxy.serving.UpstreamEligibility;
@@ -43,7 +44,7 @@
  * <p>Must only be used on its event loop, except for {@link #stop}, which any thread may call.
  */
 public final class Gateway {
-    private static final long SWEEP_INTERVAL_MILLIS = 250;
+    private static final long SWEEP_INTERVAL_MILLIS = StorePolling.PROBER_INTERVAL.toMillis();
 
     private final EventLoop mLoop;
     private final GatewaySettings mSettings;
@@ -70,6 +71,7 @@
     private final StopSequence mStopSequence;
     private final Map<ServiceId, SharedRetryBudget> mRetryBudgets = new HashMap<>();
     private final TableWatches mTableWatches;
+    private final StoreProber mStoreProber;
     private final OpenRequests mOpenRequests = new OpenRequests();
     private final PromptStoreViews mPromptStoreViews;
     private final BufferBudget<UpstreamAttempt> mBufferBudget;
@@ -105,6 +107,7 @@
         mInstanceRegistry = new InstanceRegistry(this, store);
         mPeerMessenger = new PeerMessenger(this, settings.peerAddress());
         mTableWatches = new TableWatches(this, store);
+        mStoreProber = new StoreProber(this, settings.instance());
         mCacheTracker = new CacheTracker(this, engineControl, settings.instance());
         mPromptStoreViews = new PromptStoreViews(mCacheTracker);
         mLimitGuard = new LimitGuard(this, settings.instance());
@@ -198,6 +201,10 @@
         return mTableWatches;
     }
 
+    StoreProber storeProber() {
+        return mStoreProber;
+    }
+
     /** Handles a peer's report that the store does not respond to it. */
     void onPeerStoreOutage() {
         if (mUpstreamTracker.onPeerStoreOutage()) {
@@ -255,6 +262,7 @@
         }
         mPeerLoads.expire(now, FleetIntervals.heartbeatTimeout(instanceCount()).toNanos());
         mInstanceRegistry.expire();
+        mStoreProber.update();
         mLimitGuard.expire();
         mRolloutTask.ensureRunning();
         mLog.flush();
--- a/gateway/src/main/java/org/catkinproxy/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/GatewayEvent.java
@@ -58,7 +58,9 @@
     STORE_READ_FAILED(1704),
     STORE_BEHIND(1705),
     STORE_ERA(1706),
-    TABLE_READ(1707);
+    TABLE_READ(1707),
+    STORE_POLL_OVERDUE(1708),
+    PROBER_CHANGED(1709);
 
     private final int mNumber;
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/InstanceRegistry.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/InstanceRegistry.java
@@ -8,6 +8,7 @@
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.serving.FleetIntervals;
 import org.catkinproxy.serving.PeerLoads;
+import org.catkinproxy.serving.ProberElection;
 import org.catkinproxy.serving.StorePosition;
 
 import java.io.IOException;
@@ -72,12 +73,14 @@
      * @param callerAddress the address at which callers connect
      * @param peerAddress the address to which heartbeats and other datagrams are sent
      * @param ready whether it accepts callers
+     * @param storeReachable whether it has reported that the store responds to it
      * @param lastSeenAt when its last heartbeat arrived, or when its row was first read
      */
     private record Member(
             HostAndPort callerAddress,
             InetSocketAddress peerAddress,
             boolean ready,
+            boolean storeReachable,
             long lastSeenAt) {}
 
     InstanceRegistry(Gateway gateway, TableStore store) {
@@ -162,6 +165,17 @@
                 .toList();
     }
 
+    /** Returns the other instances that are alive, as the election of the prober sees them. */
+    List<ProberElection.Peer> proberPeers() {
+        return mPeerAddresses.keySet().stream().map(this::proberPeer).toList();
+    }
+
+    private ProberElection.Peer proberPeer(InstanceId id) {
+        Member member = mMembers.get(id);
+        return new ProberElection.Peer(
+                id, member.ready() && member.storeReachable(), member.lastSeenAt());
+    }
+
     /** Returns the other instances that accept callers. */
     Set<InstanceId> readyPeers() {
         return mReadyPeers;
@@ -207,7 +221,11 @@
         mMembers.put(
                 heartbeat.instance(),
                 new Member(
-                        heartbeat.callerAddress(), peerAddress, heartbeat.ready(), mGateway.now()));
+                        heartbeat.callerAddress(),
+                        peerAddress,
+                        heartbeat.ready(),
+                        heartbeat.storeReachable(),
+                        mGateway.now()));
         boolean known = peerAddress.equals(mPeerAddresses.get(heartbeat.instance()));
         if (!known || heartbeat.ready() != mReadyPeers.contains(heartbeat.instance())) {
             refresh();
@@ -348,6 +366,7 @@
                 HostAndPort.fromString(row.path("front").asText()),
                 socketAddress(HostAndPort.fromString(row.path("peers").asText())),
                 true,
+                false,
                 now);
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
@@ -3,6 +3,7 @@
 import org.catkinproxy.id.InstanceId;
 import org.catkinproxy.serving.FleetIntervals;
 import org.catkinproxy.serving.PeerLoads;
+import org.catkinproxy.serving.ProberElection;
 import org.catkinproxy.serving.UpstreamState;
 
 import io.netty.bootstrap.Bootstrap;
@@ -67,15 +68,26 @@
 
     /** Sends the current state of this instance to all peers, and at times to silent ones. */
     void sendHeartbeat() {
-        PeerMessage.Heartbeat heartbeat =
-                mGateway.instanceRegistry()
-                        .heartbeat(loadByUpstream(), mGateway.tableWatches().positions());
+        PeerMessage.Heartbeat heartbeat = heartbeat();
         send(heartbeat);
         send(heartbeat, mGateway.instanceRegistry().silentPeersToProbe());
         mGateway.promptGuard().repeatReport();
         mGateway.limitGuard().repeatReport();
     }
 
+    /** Sends the current state to those that take over as prober if this instance fails. */
+    void sendHeartbeatToProberCandidates() {
+        Map<InstanceId, InetSocketAddress> peers = mGateway.instanceRegistry().peerAddresses();
+        send(
+                heartbeat(),
+                ProberElection.candidates(peers.keySet()).stream().map(peers::get).toList());
+    }
+
+    private PeerMessage.Heartbeat heartbeat() {
+        return mGateway.instanceRegistry()
+                .heartbeat(loadByUpstream(), mGateway.tableWatches().positions());
+    }
+
     private Map<InstanceId, PeerLoads.Load> loadByUpstream() {
         Map<InstanceId, PeerLoads.Load> loadByUpstream = new HashMap<>();
         for (UpstreamState state : mGateway.upstreamTracker().allStates()) {
--- a/gateway/src/main/java/org/catkinproxy/gateway/PooledHttpClient.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PooledHttpClient.java
@@ -47,13 +47,14 @@
  * An HTTP client for short calls to the store and to engines, with one call at a time on each
  * connection.
  *
- * <p>A connection is reused after a complete response and closed after any failure, so that an
- * unresponsive one costs only one timeout. Calls have no id, so a response is matched to its call
- * by the connection alone: calls to servers that may write a response more than once go through
- * {@link #withoutReuse}, unless a response to an earlier call of the same kind does no harm. A
- * response that breaks off or does not end fails its call, and bytes that belong to no call close
- * their connection. All responses together use a limited amount of memory. Used by the event loop
- * only.
+ * <p>A connection is reused after a complete response and closed after any failure. A call that
+ * times out or is cancelled closes the idle connections to its server too, so that connections that
+ * have fallen silent together cost one timeout. Calls have no id, so a response is matched to its
+ * call by the connection alone: calls to servers that may write a response more than once go
+ * through {@link #withoutReuse}, unless a response to an earlier call of the same kind does no
+ * harm. A response that breaks off or does not end fails its call, and bytes that belong to no call
+ * close their connection. All responses together use a limited amount of memory. Used by the event
+ * loop only.
  */
 public final class PooledHttpClient {
     /** Limit for a response; a page of rows has at most 1 MiB, apart from its encoding. */
@@ -161,9 +162,7 @@
         }
 
         void start(DefaultFullHttpRequest request) {
-            mTimer =
-                    mLoop.schedule(
-                            () -> fail("timeout"), mTimeout.toMillis(), TimeUnit.MILLISECONDS);
+            mTimer = mLoop.schedule(this::onTimeout, mTimeout.toMillis(), TimeUnit.MILLISECONDS);
             Channel idle = pollIdle();
             if (idle != null) {
                 send(idle, request);
@@ -247,10 +246,24 @@
         /** Cancels the call unless it has ended. */
         void cancel() {
             if (!mDone) {
+                closeIdle();
                 end();
             }
         }
 
+        private void onTimeout() {
+            closeIdle();
+            fail("timeout");
+        }
+
+        /** Closes the idle connections: what has silenced one may have silenced all. */
+        private void closeIdle() {
+            Deque<Channel> idle = mIdle.remove(mAddress);
+            if (idle != null) {
+                idle.forEach(Channel::close);
+            }
+        }
+
         private void end() {
             mDone = true;
             mTimer.cancel(false);
--- a/gateway/src/main/java/org/catkinproxy/gateway/TableConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/TableConnection.java
@@ -64,4 +64,9 @@
     void onBehind(StorePosition known, StorePosition hinted) {
         mLog.record(GatewayEvent.STORE_BEHIND, "table", mName, "known", known, "told", hinted);
     }
+
+    /** Handles a poll whose response is overdue. */
+    void onOverdue() {
+        mLog.record(GatewayEvent.STORE_POLL_OVERDUE, "table", mName);
+    }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
@@ -5,6 +5,7 @@
 import org.catkinproxy.error.Outcome;
 import org.catkinproxy.error.Step;
 import org.catkinproxy.serving.ReadingFreshness;
+import org.catkinproxy.serving.StorePolling;
 import org.catkinproxy.serving.StorePosition;
 
 import io.netty.channel.EventLoop;
@@ -21,17 +22,14 @@
  *
  * <p>If the store's history no longer reaches back far enough, or a new era begins, all rows are
  * read again: the versions of one era say nothing of another. After a failure the watch polls from
- * the same position on another connection, at first without a wait. A poll without a response ends
- * by its timeout, or is cancelled once a peer has reported a change that the poll should have
- * returned. Used by the event loop only.
+ * the same position on another connection, at first without a wait. An open connection may fall
+ * silent, so a poll is replaced by one on a new connection if its response is overdue, or if a peer
+ * has reported a change that the poll should have returned. Used by the event loop only.
  */
 public final class TableWatch {
     private static final long INITIAL_BACKOFF_MILLIS = 100;
     private static final long MAX_BACKOFF_MILLIS = 800;
 
-    /** Time within which the open poll should return a change that a peer has reported. */
-    private static final long HINT_GRACE_MILLIS = 300;
-
     /** Receives the rows of a table. */
     public interface Listener {
         /**
@@ -61,6 +59,9 @@
          * @param hinted the position that a peer has reported, or that was known before
          */
         void onBehind(StorePosition known, StorePosition hinted);
+
+        /** Called when the response of the open poll is overdue, and the poll is replaced. */
+        void onOverdue();
     }
 
     /** The polling intervals, which depend on the number of instances that poll. */
@@ -90,6 +91,9 @@
     /** The highest position that a peer has reported and for which a poll was replaced. */
     private StorePosition mCheckedHint = StorePosition.START;
 
+    /** How long the response of a poll is awaited after the end of its wait. */
+    private Duration mResponseGrace = StorePolling.MIN_RESPONSE_GRACE;
+
     private final ReadingFreshness mFreshness = ReadingFreshness.create();
     private long mBackoffMillis = INITIAL_BACKOFF_MILLIS;
     private Disposable mPoll = Disposable.disposed();
@@ -169,29 +173,61 @@
     private void scheduleCheck(StorePosition hinted) {
         mCheckScheduled = true;
         Disposable poll = mPoll;
-        mLoop.schedule(() -> checkHint(hinted, poll), HINT_GRACE_MILLIS, TimeUnit.MILLISECONDS);
+        schedule(() -> checkHint(hinted, poll), StorePolling.HINT_GRACE);
+    }
+
+    private Future<?> schedule(Runnable task, Duration delay) {
+        return mLoop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void checkHint(StorePosition hinted, Disposable poll) {
         mCheckScheduled = false;
-        if (mPosition.isPresent()
-                && hinted.isAfter(mPosition.get())
-                && poll == mPoll
-                && !poll.isDisposed()) {
+        if (mPosition.isPresent() && hinted.isAfter(mPosition.get()) && isOpen(poll)) {
             mCheckedHint = hinted;
             mListener.onBehind(mPosition.get(), hinted);
-            poll.dispose();
-            mPollsWithoutWait = true;
-            poll();
+            replacePoll();
+        }
+    }
+
+    private boolean isOpen(Disposable poll) {
+        return poll == mPoll && !poll.isDisposed();
+    }
+
+    /** Replaces the open poll by one on a new connection that does not wait. */
+    private void replacePoll() {
+        mPoll.dispose();
+        mPollsWithoutWait = true;
+        poll();
+    }
+
+    /** Replaces an open poll that waits for changes by one that does not. */
+    public void pollNow() {
+        if (mPosition.isPresent() && isOpen(mPoll) && !mPollsWithoutWait) {
+            replacePoll();
         }
     }
 
     private void poll() {
+        if (mPosition.isEmpty()) {
+            mPoll = mStore.read(mTable).subscribe(this::onTable, this::onFailure);
+            return;
+        }
+        Duration wait = nextPollTimeout();
+        long startedAt = System.nanoTime();
         mPoll =
-                mPosition.isEmpty()
-                        ? mStore.read(mTable).subscribe(this::onTable, this::onFailure)
-                        : mStore.changes(mTable, mPosition.get(), nextPollTimeout())
-                                .subscribe(this::onChanges, this::onFailure);
+                mStore.changes(mTable, mPosition.get(), wait)
+                        .subscribe(rows -> onChanges(rows, startedAt, wait), this::onFailure);
+        Disposable poll = mPoll;
+        if (!mPollsWithoutWait && !poll.isDisposed()) {
+            schedule(() -> checkOverdue(poll), wait.plus(mResponseGrace));
+        }
+    }
+
+    private void checkOverdue(Disposable poll) {
+        if (isOpen(poll)) {
+            mListener.onOverdue();
+            replacePoll();
+        }
     }
 
     /** Replaces the open or scheduled poll by one after a delay. */
@@ -247,7 +283,11 @@
         mBackoffMillis = Math.min(2 * mBackoffMillis, MAX_BACKOFF_MILLIS);
     }
 
-    private void onChanges(TableStore.Rows rows) {
+    private void onChanges(TableStore.Rows rows, long startedAt, Duration wait) {
+        if (rows.rows().isEmpty()) {
+            Duration elapsed = Duration.ofNanos(System.nanoTime() - startedAt);
+            mResponseGrace = StorePolling.responseGrace(elapsed.minus(wait));
+        }
         mListener.onConnected();
         mFollowsReading = false;
         mBackoffMillis = INITIAL_BACKOFF_MILLIS;
--- a/gateway/src/main/java/org/catkinproxy/gateway/TableWatches.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/TableWatches.java
@@ -1,6 +1,7 @@
 package org.catkinproxy.gateway;
 
 import org.catkinproxy.serving.FleetIntervals;
+import org.catkinproxy.serving.StorePolling;
 import org.catkinproxy.serving.StorePosition;
 
 import java.time.Duration;
@@ -13,8 +14,8 @@
 /**
  * The watched tables of the store.
  *
- * <p>Polls are spread over the instances: the more there are, the longer each poll waits. Used by
- * the event loop only.
+ * <p>The polls of one instance wait for a short time only (see {@link StoreProber}). Those of the
+ * others are spread: the more there are, the longer each poll waits. Used by the event loop only.
  */
 final class TableWatches {
     private final Gateway mGateway;
@@ -32,8 +33,10 @@
                 new TableWatch.PollPolicy() {
                     @Override
                     public Duration pollTimeout() {
-                        return FleetIntervals.pollTimeout(
-                                mGateway.instanceCount(), mGateway.random());
+                        return mGateway.storeProber().isProber()
+                                ? StorePolling.PROBE_WAIT
+                                : FleetIntervals.pollTimeout(
+                                        mGateway.instanceCount(), mGateway.random());
                     }
 
                     @Override
@@ -58,6 +61,11 @@
         mGateway.loop().execute(() -> mWatches.forEach(watch -> watch.onNewEra(era)));
     }
 
+    /** Replaces the polls that wait for changes, which may be silent. */
+    void pollNow() {
+        mWatches.forEach(TableWatch::pollNow);
+    }
+
     /**
      * Returns the position of the newest change seen in each watched table, by table name, or the
      * start of the store's era if none has been seen in it.
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
@@ -280,6 +280,11 @@
         mConnection.onBehind(known, hinted);
     }
 
+    @Override
+    public void onOverdue() {
+        mConnection.onOverdue();
+    }
+
     @Override
     public void onDisconnected(CatkinException reason) {
         mRegistry.onStoreUnavailable(mGateway.now());
--- a/gateway/src/test/java/org/catkinproxy/gateway/TableWatchTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/TableWatchTest.java
@@ -90,6 +90,32 @@
         assertThat(mWatch.newestRow()).isEqualTo(new StorePosition(0, 9));
     }
 
+    /**
+     * Guards against a change that is missed for as long as a poll on a silent connection stays
+     * open (review case 8).
+     */
+    @Example
+    void silentPollIsReplacedOnceItsResponseIsOverdue() {
+        advance(16_400);
+        assertThat(mStore.openCalls()).containsExactly("changes after 5 wait 16");
+
+        advance(200);
+        assertThat(mStore.openCalls()).containsExactly("changes after 5 wait 0");
+        assertThat(mListener.mOverdueCount).isEqualTo(1);
+        assertThat(mListener.mDisconnectCount).isEqualTo(0);
+
+        mStore.succeed(rows(9, row("b", 9)));
+        assertThat(mListener.mKeys).containsExactly("a", "b").inOrder();
+    }
+
+    @Example
+    void pollIsReplacedOnRequestUnlessItDoesNotWait() {
+        mWatch.pollNow();
+        assertThat(mStore.openCalls()).containsExactly("changes after 5 wait 0");
+        mWatch.pollNow();
+        assertThat(mStore.mDisposedCount).isEqualTo(1);
+    }
+
     /** In a rollout the rows of the engines change one after the other. */
     @Example
     void nextPollIsDelayedToCoalesceChanges() {
@@ -352,6 +378,7 @@
     private static final class RecordingListener implements TableWatch.Listener {
         private final List<String> mKeys = new ArrayList<>();
         private int mDisconnectCount;
+        private int mOverdueCount;
         private boolean mFailsOnce;
 
         @Override
@@ -379,6 +406,11 @@
             assertThat(hinted).isGreaterThan(known);
         }
 
+        @Override
+        public void onOverdue() {
+            mOverdueCount++;
+        }
+
         @Override
         public void onDisconnected(CatkinException reason) {
             mDisconnectCount++;
