Keep what an isolated workspace has cached from the others

Cause: the scope of the workspaces that share was a constant, and a cached part outlives the configuration under which it was made.

Ruled out: an instance without the new configuration (the isolated workspace had its own scope at both instances); parts made after the change (the record names the maker of each part).

Change: the scope of those that share names the set of isolated workspaces, from the configuration alone. What is found under it was made by a workspace that is not isolated now; without isolated workspaces it is what it was. A request that waits or is sent once more takes the scope of the newest configuration, and a workspace without keys stays in the set.

--- a/core/src/main/java/org/catkinproxy/serving/ServingConfig.java
+++ b/core/src/main/java/org/catkinproxy/serving/ServingConfig.java
@@ -20,6 +20,7 @@
  * @param requiresApiKey whether requests need an API key on routes that are not public, also while
  *     no key is valid
  * @param accessByApiKey the access that each valid API key grants
+ * @param cacheScopes the scopes in which cached prompts are shared
  * @param promptStores the stores in which engines save prompts for each other
  */
 public record ServingConfig(
@@ -29,11 +30,13 @@
         RequestLimits limits,
         boolean requiresApiKey,
         Map<String, WorkspaceAccess> accessByApiKey,
+        CacheScopes cacheScopes,
         List<PromptStore> promptStores) {
     /** Validates and copies the components. */
     public ServingConfig {
         checkNotNull(routes, "routes");
         checkNotNull(limits, "limits");
+        checkNotNull(cacheScopes, "cacheScopes");
         services = Map.copyOf(services);
         accessByApiKey = Map.copyOf(accessByApiKey);
         promptStores = List.copyOf(promptStores);
--- a/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamChooser.java
@@ -116,6 +116,12 @@
         public String cacheScope(int version) {
             return cacheScope + "." + version;
         }
+
+        /** Returns the same prompt in another scope. */
+        public PlacementRequest withCacheScope(String newScope) {
+            return new PlacementRequest(
+                    prompt, newScope, versions, fetchNanosPerToken, promptStore, deadline);
+        }
     }
 
     private UpstreamChooser(
--- a/gateway/src/main/java/org/catkinproxy/gateway/AdmittedRequest.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/AdmittedRequest.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import org.catkinproxy.id.ServiceId;
+import org.catkinproxy.serving.CacheScopes;
 import org.catkinproxy.serving.Route;
 import org.catkinproxy.serving.WorkspaceAccess;
 
@@ -34,9 +35,6 @@
         ByteBuf body,
         Route route,
         Optional<WorkspaceAccess> access) {
-    /** Cache scope shared by all workspaces that are not isolated; no valid workspace id. */
-    private static final String SHARED_SCOPE = "*";
-
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Checks that no required component is null. */
@@ -61,11 +59,16 @@
         return route.selectService(head.id().value().hashCode());
     }
 
-    /** Returns the scope of the prompt; prompts of different scopes share no cache entries. */
-    String cacheScope() {
-        return access.filter(WorkspaceAccess::cacheIsolated)
-                .map(a -> a.workspace().value())
-                .orElse(SHARED_SCOPE);
+    /**
+     * Returns the scope of the prompt; prompts of different scopes share no cache entries. A
+     * workspace that was isolated at admission keeps its own scope.
+     *
+     * @param scopes the scopes of the newest configuration, which may be newer than the admission
+     */
+    String cacheScope(CacheScopes scopes) {
+        return access.filter(a -> a.cacheIsolated() || scopes.isIsolated(a.workspace()))
+                .map(a -> scopes.isolatedScope(a.workspace()))
+                .orElse(scopes.sharedScope());
     }
 
     /**
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import org.catkinproxy.error.CatkinException;
 import org.catkinproxy.id.ServiceId;
 import org.catkinproxy.serving.BufferBudget;
+import org.catkinproxy.serving.CacheScopes;
 import org.catkinproxy.serving.DesiredVersions;
 import org.catkinproxy.serving.EngineLimits;
 import org.catkinproxy.serving.FleetIntervals;
@@ -371,6 +372,14 @@
         return mConfigWatcher.config().map(ServingConfig::version).orElse(0L);
     }
 
+    /** Returns the scopes in which prompts are cached under the newest configuration. */
+    CacheScopes cacheScopes() {
+        return mConfigWatcher
+                .config()
+                .map(ServingConfig::cacheScopes)
+                .orElse(CacheScopes.ALL_SHARED);
+    }
+
     RequestLimits limits() {
         return mConfigWatcher.config().map(ServingConfig::limits).orElse(RequestLimits.DEFAULT);
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/RequestPlacement.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RequestPlacement.java
@@ -27,7 +27,7 @@
     private final AttemptHistory mHistory;
     private final ServerSentEventSplitter mEventSplitter;
     private final long mDeadline;
-    private final Optional<UpstreamChooser.PlacementRequest> mPrompt;
+    private Optional<UpstreamChooser.PlacementRequest> mPrompt;
     private final boolean mBackupEnabled;
 
     RequestPlacement(
@@ -55,7 +55,7 @@
                 mGateway.engineLimits(mService).map(EngineLimits::fetchNanosPerToken).orElse(0.0);
         return new UpstreamChooser.PlacementRequest(
                 prompt,
-                mRequest.cacheScope(),
+                mRequest.cacheScope(mGateway.cacheScopes()),
                 mGateway.desiredVersions(),
                 fetchNanosPerToken,
                 mGateway.promptStoreView(prompt),
@@ -67,6 +67,12 @@
         return mPrompt;
     }
 
+    /** Takes over a cache scope that has changed while the request waited. */
+    private void updateCacheScope() {
+        String scope = mRequest.cacheScope(mGateway.cacheScopes());
+        mPrompt = mPrompt.map(p -> p.cacheScope().equals(scope) ? p : p.withCacheScope(scope));
+    }
+
     /**
      * Returns whether the engine copies the run's KV cache to a backup engine as it grows, which is
      * done for streams that are not safe to retry.
@@ -77,6 +83,7 @@
 
     /** Returns the best upstream that was not tried, empty if none accepts requests. */
     Optional<UpstreamChooser.Choice> choose(long now) {
+        updateCacheScope();
         Collection<UpstreamState> states = mGateway.upstreamStates(mService);
         return mPrompt.isEmpty()
                 ? mGateway.chooser().chooseUpstream(states, mHistory.tried(), now)
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamAttempt.java
@@ -266,10 +266,12 @@
         return mGateway.headerCodec().writeRequest(mRequest.headers(), metadata);
     }
 
+    /** The cache scope is that of the newest configuration, which may be newer than the choice. */
     private UpstreamRequestMetadata.EngineMetadata engineMetadata(
             UpstreamChooser.PlacementRequest placementRequest) {
+        String cacheScope = mRequest.cacheScope(mGateway.cacheScopes());
         return new UpstreamRequestMetadata.EngineMetadata(
-                placementRequest.cacheScope(weightsVersion()),
+                placementRequest.withCacheScope(cacheScope).cacheScope(weightsVersion()),
                 weightsVersion(),
                 mChoice.fetchFrom(),
                 mChoice.saveTo(),
