Drop an upstream that left in time after a link to the store has healed

Cause: an attempt to connect took up to 0.7 s, the next one began up to 0.8 s after its end, and what was missing then was retained for 2.0 s; nothing added these up. The retention was wrong besides: two cut instances took each other's reports for an outage of the store, though four peers had its answers.

Ruled out: a late answer of the store (it answered the others all the while); a removal that was not read (it stands in the first answer).

Change: heartbeats say how long ago the store answered; an instance whose peers had answers all the while retains nothing. Attempts start each 0.6 s, whatever the time of one; the retention ends 2.7 s after the start of the last attempt that failed. StorePollingTest adds these up. The prober waits for 1.3 s instead of 1 s, so that fewer calls are made.

UpstreamRegistryTest: one example asked that an entry be retained until 2.8 s after a failure and dropped at the next check, up to 0.25 s later, which together pass 3 s. It assumed attempts 0.8 s apart. It now asks for both bounds with attempts 0.6 s apart: retained for 2.0 s after the answer, dropped 2.7 s after the failure.

--- a/core/src/main/java/org/catkinproxy/serving/StoreAvailability.java
+++ b/core/src/main/java/org/catkinproxy/serving/StoreAvailability.java
@@ -3,18 +3,20 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 
 /**
  * Decides whether an entry that is missing from the platform's store may have expired in an outage
  * of the store, from this instance's own calls and the reports of its peers.
  *
  * <p>While the store is unavailable, entries expire although their processes run; those are listed
- * again soon after its end. A failure that only this instance sees, and only for a short time, is
- * no such outage: what is missing after it was removed. An instance whose open poll spans an outage
- * does not notice it, so peers report theirs. A peer that cannot reach the store may be the only
- * one, though. It is in doubt until the store has answered a check, which is a call that this
- * instance makes after the report; as long as the store answers checks regularly, reports of peers
- * change nothing. Times are in nanoseconds of the owner's monotonic clock. Not thread-safe.
+ * again soon after its end. A failure that only this instance sees is no such outage if it is short
+ * or if the store has answered peers all the while: what is missing after it was removed. An
+ * instance whose open poll spans an outage does not notice it, so peers report theirs. A peer that
+ * cannot reach the store may be the only one, though. It is in doubt until the store has answered a
+ * check, which is a call that this instance makes after the report; as long as the store answers
+ * checks regularly, reports of peers change nothing. Times are in nanoseconds of the owner's
+ * monotonic clock. Not thread-safe.
  */
 final class StoreAvailability {
     /** Interval of the calls that check the store while peers report an outage. */
@@ -23,16 +25,6 @@
     /** No entry expires in a shorter outage. */
     private static final long MIN_OUTAGE_NANOS = 3_000_000_000L;
 
-    /**
-     * Time after the last failure for which entries may be missing at most. The store may have
-     * answered again right after that failure, and an upstream that left must get no more requests
-     * once this instance could have known for three seconds.
-     */
-    private static final long MAX_GRACE_AFTER_FAILURE_NANOS = 2_800_000_000L;
-
-    /** Time after the store's return in which live upstreams are listed again. */
-    private static final long RELISTING_NANOS = 2_000_000_000L;
-
     /** Time for which an answered check holds. */
     private static final long CHECK_LIFETIME_NANOS = MIN_OUTAGE_NANOS;
 
@@ -40,9 +32,18 @@
     private final long mPeerOutageGraceNanos;
     private boolean mAvailable;
     private boolean mHadOutage;
+    private boolean mHasAnswer;
     private long mAnsweredAt;
     private long mFailedAt;
-    private long mLastFailedAt;
+
+    /** When the last call that failed was started. */
+    private long mLastAttemptAt;
+
+    /** When the store last answered a peer, and since when without a gap as long as an outage. */
+    private long mPeerAnsweredAt;
+
+    private long mPeerAnsweredSince;
+    private boolean mHasPeerAnswer;
 
     /** Whether a peer has reported the current outage too. */
     private boolean mReportedByPeer;
@@ -78,13 +79,12 @@
     /** Records that the store has answered a call of this instance. */
     void onAvailable(long now) {
         if (!mAvailable && mHadOutage) {
-            startGrace(
-                    isOutageOfStore(now)
-                            ? endOfOutageGrace(now)
-                            : mFailedAt + mPeerOutageGraceNanos);
+            boolean isOutage = isOutageOfStore(now) && !hasAnsweredPeersThroughout(now);
+            startGrace(isOutage ? endOfOutageGrace(now) : mFailedAt + mPeerOutageGraceNanos);
             mCheckFailed = false;
         }
         mAvailable = true;
+        mHasAnswer = true;
         mAnsweredAt = now;
         mReportedByPeer = false;
     }
@@ -96,6 +96,33 @@
                 || (mayHaveBegunEarlier && (mCheckFailed || mReportedByPeer));
     }
 
+    /**
+     * Returns whether the store has answered one peer or another since it last answered this
+     * instance, without a gap in which entries could have expired.
+     */
+    private boolean hasAnsweredPeersThroughout(long now) {
+        return mHasPeerAnswer
+                && mPeerAnsweredSince - mAnsweredAt < MIN_OUTAGE_NANOS
+                && now - mPeerAnsweredAt < MIN_OUTAGE_NANOS;
+    }
+
+    /** Records that the store has answered a peer at {@code answeredAt}. */
+    void onPeerAnswered(long answeredAt) {
+        if (mHasPeerAnswer && answeredAt - mPeerAnsweredAt <= 0) {
+            return;
+        }
+        if (!mHasPeerAnswer || answeredAt - mPeerAnsweredAt >= MIN_OUTAGE_NANOS) {
+            mPeerAnsweredSince = answeredAt;
+        }
+        mPeerAnsweredAt = answeredAt;
+        mHasPeerAnswer = true;
+    }
+
+    /** Returns when the store last answered this instance, empty if it has not yet. */
+    OptionalLong answeredAt() {
+        return mHasAnswer ? OptionalLong.of(mAnsweredAt) : OptionalLong.empty();
+    }
+
     /** Records that the store came back from a copy, which may lack entries of live processes. */
     void onRestored(long now) {
         startGrace(endOfOutageGrace(now));
@@ -107,8 +134,11 @@
         if (mAvailable || !mHadOutage) {
             return endsAt;
         }
-        long latestAt =
-                Math.max(now + RELISTING_NANOS, mLastFailedAt + MAX_GRACE_AFTER_FAILURE_NANOS);
+        if (now - mLastAttemptAt > StorePolling.MAX_ATTEMPT_TIME.toNanos()) {
+            // This process was held up, and does not know when the store returned.
+            return Math.min(endsAt, now + StorePolling.RELISTING_TIME.toNanos());
+        }
+        long latestAt = mLastAttemptAt + StorePolling.MAX_RETENTION_AFTER_ATTEMPT.toNanos();
         return Math.min(endsAt, latestAt);
     }
 
@@ -137,13 +167,17 @@
         mInGrace = true;
     }
 
-    /** Records that the store did not answer a call of this instance. */
-    void onUnavailable(long now) {
+    /**
+     * Records that the store did not answer a call of this instance.
+     *
+     * @param attemptedAt when the call was started; the store may have returned since
+     */
+    void onUnavailable(long now, long attemptedAt) {
         if (mAvailable || !mHadOutage) {
             mFailedAt = now;
             mCheckedBeforeOutage = isCheckValid(now);
         }
-        mLastFailedAt = now;
+        mLastAttemptAt = attemptedAt;
         mAvailable = false;
         mHadOutage = true;
         mInDoubt = false;
--- a/core/src/main/java/org/catkinproxy/serving/StorePolling.java
+++ b/core/src/main/java/org/catkinproxy/serving/StorePolling.java
@@ -16,7 +16,7 @@
     public static final Duration MAX_SYNC_TIME = Duration.ofSeconds(3);
 
     /** How long the polls of the prober wait for changes. */
-    public static final Duration PROBE_WAIT = Duration.ofMillis(1_000);
+    public static final Duration PROBE_WAIT = Duration.ofMillis(1_300);
 
     /**
      * Time after the end of a poll's wait in which its response arrives on a sound connection. A
@@ -30,8 +30,29 @@
     /** Time within which the open poll should return a change that a peer has reported. */
     public static final Duration HINT_GRACE = Duration.ofMillis(300);
 
-    /** Interval at which the prober is determined, and at which it reports the changes it saw. */
-    public static final Duration PROBER_INTERVAL = Duration.ofMillis(250);
+    /** Interval between the starts of attempts to reach a store that does not answer. */
+    public static final Duration MAX_RETRY_INTERVAL = Duration.ofMillis(600);
+
+    /** How long a connection attempt may take; another one follows within the retry interval. */
+    public static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+    /** Time after the store's return in which live upstreams are listed again. */
+    static final Duration RELISTING_TIME = Duration.ofMillis(2_000);
+
+    /**
+     * Limit for the time for which missing entries are retained, from the start of the last attempt
+     * that failed: the store may have returned right after it.
+     */
+    static final Duration MAX_RETENTION_AFTER_ATTEMPT = Duration.ofMillis(2_700);
+
+    /** How long an attempt without an answer takes at most, unless this process is held up. */
+    static final Duration MAX_ATTEMPT_TIME = MAX_RESPONSE_GRACE.plus(MAX_RETRY_INTERVAL);
+
+    /**
+     * Interval at which an instance checks which entries it still retains and whether it is the
+     * prober, and at which the prober reports the changes it saw.
+     */
+    public static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
 
     /** Time for a call on a new connection to a sound store, and for a message to a peer. */
     private static final Duration CALL_TIME = Duration.ofMillis(100);
@@ -55,6 +76,18 @@
                 .plus(CALL_TIME);
     }
 
+    /** Returns the time after the store's return in which an instance has its first answer. */
+    public static Duration storeReturnDelay() {
+        return MAX_RETRY_INTERVAL.plus(CALL_TIME);
+    }
+
+    /**
+     * Returns the time after the store's return in which an entry is dropped that is still missing.
+     */
+    public static Duration missingEntryDelay() {
+        return MAX_RETENTION_AFTER_ATTEMPT.plus(SWEEP_INTERVAL);
+    }
+
     /**
      * Returns the time in which all instances have a change if the prober fails and all open
      * connections to the store are silent: another instance takes over with new polls.
@@ -63,7 +96,7 @@
      */
     public static Duration failedProberDelay(int instances) {
         return ProberElection.maxTakeoverDelay()
-                .plus(PROBER_INTERVAL)
+                .plus(SWEEP_INTERVAL)
                 .plus(CALL_TIME)
                 .plus(reportDelay(instances))
                 .plus(CALL_TIME)
@@ -73,7 +106,7 @@
 
     private static Duration reportDelay(int instances) {
         Duration heartbeat = FleetIntervals.heartbeatInterval(instances);
-        return heartbeat.compareTo(PROBER_INTERVAL) < 0 ? heartbeat : PROBER_INTERVAL;
+        return heartbeat.compareTo(SWEEP_INTERVAL) < 0 ? heartbeat : SWEEP_INTERVAL;
     }
 
     /**
--- a/core/src/main/java/org/catkinproxy/serving/UpstreamRegistry.java
+++ b/core/src/main/java/org/catkinproxy/serving/UpstreamRegistry.java
@@ -90,9 +90,23 @@
         mStore.onAvailable(now);
     }
 
-    /** Records that the store does not answer at {@code now}. */
-    public void onStoreUnavailable(long now) {
-        mStore.onUnavailable(now);
+    /**
+     * Records that the store does not answer at {@code now}.
+     *
+     * @param attemptedAt when the call was started that failed
+     */
+    public void onStoreUnavailable(long now, long attemptedAt) {
+        mStore.onUnavailable(now, attemptedAt);
+    }
+
+    /** Records that the store has answered another instance at {@code answeredAt}. */
+    public void onPeerAnswered(long answeredAt) {
+        mStore.onPeerAnswered(answeredAt);
+    }
+
+    /** Returns when the store last answered this instance, empty if it has not yet. */
+    public OptionalLong storeAnsweredAt() {
+        return mStore.answeredAt();
     }
 
     /** Records that the store came back from a copy, which may lack entries of live processes. */
--- a/core/src/test/java/org/catkinproxy/serving/StorePollingTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/StorePollingTest.java
@@ -25,6 +25,24 @@
         assertThat(StorePolling.failedProberDelay(instances)).isAtMost(StorePolling.MAX_SYNC_TIME);
     }
 
+    /** Guards against using an upstream that left before a link has healed (review case 10). */
+    @Example
+    void whatIsMissingAfterTheStoresReturnIsDroppedInTime() {
+        assertThat(StorePolling.missingEntryDelay()).isAtMost(StorePolling.MAX_SYNC_TIME);
+    }
+
+    /** Live upstreams are listed again in time if the store returns between two attempts. */
+    @Example
+    void entriesAreRetainedUntilLiveUpstreamsAreListedAgain() {
+        assertThat(StorePolling.storeReturnDelay().plus(StorePolling.RELISTING_TIME))
+                .isAtMost(StorePolling.MAX_RETENTION_AFTER_ATTEMPT);
+    }
+
+    @Example
+    void attemptToConnectEndsBeforeTheNextIsDue() {
+        assertThat(StorePolling.CONNECT_TIMEOUT).isLessThan(StorePolling.MAX_RETRY_INTERVAL);
+    }
+
     @Example
     void responsesOfSlowStoreAreAwaitedLonger() {
         assertThat(StorePolling.responseGrace(Duration.ofMillis(10)))
--- a/core/src/test/java/org/catkinproxy/serving/UpstreamRegistryTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/UpstreamRegistryTest.java
@@ -38,7 +38,7 @@
     void entryLostInOutageIsKeptForTheGracePeriod() {
         mRegistry.onStoreAvailable(0);
         mRegistry.put(Samples.upstreamWithoutWeights("a"));
-        mRegistry.onStoreUnavailable(0);
+        mRegistry.onStoreUnavailable(0, 0);
         mRegistry.onStoreAvailable(20 * Samples.NANOS_PER_SECOND);
         mRegistry.replaceAll(List.of(), 20 * Samples.NANOS_PER_SECOND);
 
@@ -70,21 +70,72 @@
                         Duration.ofMillis(2_300), Duration.ofMillis(1_500), mEvents);
         registry.onStoreAvailable(0);
         registry.put(Samples.upstreamWithoutWeights("a"));
-        registry.onStoreUnavailable(0);
-        registry.onStoreUnavailable(millis(20_000));
-        registry.onStoreRestored(millis(20_800));
-        registry.onStoreAvailable(millis(20_800));
-        registry.replaceAll(List.of(), millis(20_800));
+        registry.onStoreUnavailable(0, 0);
+        registry.onStoreUnavailable(millis(20_000), millis(20_000));
+        registry.onStoreRestored(millis(20_600));
+        registry.onStoreAvailable(millis(20_600));
+        registry.replaceAll(List.of(), millis(20_600));
+
+        assertThat(registry.expire(millis(22_600))).isFalse();
+        assertThat(registry.expire(millis(22_700))).isTrue();
+    }
 
-        assertThat(registry.expire(millis(22_700))).isFalse();
-        assertThat(registry.expire(millis(22_800))).isTrue();
+    /** Guards against a grace that counts from the end of an attempt that timed out. */
+    @Example
+    void entryLostInOutageIsDroppedSoonAfterTheStartOfTheLastAttempt() {
+        UpstreamRegistry registry =
+                UpstreamRegistry.create(
+                        Duration.ofMillis(2_300), Duration.ofMillis(1_500), mEvents);
+        registry.onStoreAvailable(0);
+        registry.put(Samples.upstreamWithoutWeights("a"));
+        registry.onStoreUnavailable(millis(4_000), millis(2_500));
+        registry.onStoreUnavailable(millis(20_500), millis(20_000));
+        registry.onStoreAvailable(millis(20_600));
+        registry.replaceAll(List.of(), millis(20_600));
+
+        assertThat(registry.expire(millis(22_600))).isFalse();
+        assertThat(registry.expire(millis(22_700))).isTrue();
+    }
+
+    /** Guards against using an upstream that left while this instance was cut (review case 10). */
+    @Example
+    void entryRemovedWhileTheStoreAnsweredPeersIsDroppedAtOnce() {
+        mRegistry.onStoreAvailable(0);
+        mRegistry.put(Samples.upstreamWithoutWeights("a"));
+        answerPeers(0, 10_000);
+        mRegistry.onStoreUnavailable(millis(4_000), millis(2_500));
+        mRegistry.onPeerStoreOutage(millis(4_100));
+        mRegistry.onStoreAvailable(millis(10_000));
+        mRegistry.remove(ID, millis(10_000));
+
+        assertThat(ids()).isEmpty();
+    }
+
+    @Example
+    void entryLostInOutageThatPeersSawTooIsKept() {
+        mRegistry.onStoreAvailable(0);
+        mRegistry.put(Samples.upstreamWithoutWeights("a"));
+        answerPeers(0, 2_000);
+        mRegistry.onStoreUnavailable(millis(4_000), millis(2_500));
+        mRegistry.onStoreUnavailable(millis(9_900), millis(9_400));
+        answerPeers(9_800, 10_000);
+        mRegistry.onStoreAvailable(millis(10_000));
+        mRegistry.remove(ID, millis(10_000));
+
+        assertThat(ids()).containsExactly("a");
+    }
+
+    private void answerPeers(long fromMillis, long toMillis) {
+        for (long at = fromMillis; at < toMillis; at += 500) {
+            mRegistry.onPeerAnswered(millis(at));
+        }
     }
 
     @Example
     void entryRelistedWithinTheGracePeriodStays() {
         mRegistry.onStoreAvailable(0);
         mRegistry.put(Samples.upstreamWithoutWeights("a"));
-        mRegistry.onStoreUnavailable(0);
+        mRegistry.onStoreUnavailable(0, 0);
         mRegistry.onStoreAvailable(20 * Samples.NANOS_PER_SECOND);
         mRegistry.remove(InstanceId.of("a"), 20 * Samples.NANOS_PER_SECOND);
         mRegistry.put(Samples.upstreamWithoutWeights("a"));
@@ -97,7 +148,7 @@
     void drainingUpstreamIsNotKept() {
         mRegistry.onStoreAvailable(0);
         mRegistry.put(Samples.upstream("a", "1", true, Map.of()));
-        mRegistry.onStoreUnavailable(0);
+        mRegistry.onStoreUnavailable(0, 0);
         mRegistry.onStoreAvailable(20 * Samples.NANOS_PER_SECOND);
         mRegistry.remove(InstanceId.of("a"), 20 * Samples.NANOS_PER_SECOND);
 
@@ -116,8 +167,8 @@
     void entryRemovedAroundFailureOfThisInstanceAloneIsDroppedAfterShortGrace() {
         mRegistry.onStoreAvailable(0);
         mRegistry.put(Samples.upstreamWithoutWeights("a"));
-        mRegistry.onStoreUnavailable(millis(9_900));
-        mRegistry.onStoreUnavailable(millis(10_100));
+        mRegistry.onStoreUnavailable(millis(9_900), millis(9_900));
+        mRegistry.onStoreUnavailable(millis(10_100), millis(10_100));
         mRegistry.onStoreAvailable(millis(10_200));
         mRegistry.remove(ID, millis(10_300));
 
@@ -130,7 +181,7 @@
     void entryLostInOutageThatPeersReportTooIsKeptForTheGracePeriod() {
         mRegistry.onStoreAvailable(0);
         mRegistry.put(Samples.upstreamWithoutWeights("a"));
-        mRegistry.onStoreUnavailable(millis(9_900));
+        mRegistry.onStoreUnavailable(millis(9_900), millis(9_900));
         assertThat(mRegistry.onPeerStoreOutage(millis(10_000))).isFalse();
         mRegistry.onStoreAvailable(millis(10_200));
         mRegistry.remove(ID, millis(10_300));
@@ -146,7 +197,7 @@
     void shortOutageOfTheStoreExpiresNoEntry() {
         mRegistry.onStoreAvailable(millis(8_000));
         mRegistry.put(Samples.upstreamWithoutWeights("a"));
-        mRegistry.onStoreUnavailable(millis(9_900));
+        mRegistry.onStoreUnavailable(millis(9_900), millis(9_900));
         mRegistry.onPeerStoreOutage(millis(10_000));
         mRegistry.onStoreAvailable(millis(10_200));
         mRegistry.remove(ID, millis(10_300));
@@ -162,9 +213,9 @@
         mRegistry.put(Samples.upstreamWithoutWeights("a"));
         mRegistry.onPeerStoreOutage(millis(4_000));
         mRegistry.onStoreCheckFailed();
-        mRegistry.onStoreUnavailable(millis(5_000));
+        mRegistry.onStoreUnavailable(millis(5_000), millis(5_000));
         mRegistry.onStoreAvailable(millis(9_000));
-        mRegistry.onStoreUnavailable(millis(60_000));
+        mRegistry.onStoreUnavailable(millis(60_000), millis(60_000));
         mRegistry.onStoreAvailable(millis(60_100));
         mRegistry.remove(ID, millis(60_100));
 
@@ -178,7 +229,7 @@
         mRegistry.onStoreAvailable(0);
         mRegistry.put(Samples.upstreamWithoutWeights("a"));
         reportPeerOutage(4_000, 9_900);
-        mRegistry.onStoreUnavailable(millis(9_900));
+        mRegistry.onStoreUnavailable(millis(9_900), millis(9_900));
         mRegistry.onPeerStoreOutage(millis(10_000));
         mRegistry.onStoreAvailable(millis(10_200));
         mRegistry.remove(ID, millis(10_300));
@@ -377,7 +428,7 @@
     @Example
     void retainedEntryIsReported() {
         mRegistry.put(entry(1, 1, false));
-        mRegistry.onStoreUnavailable(0);
+        mRegistry.onStoreUnavailable(0, 0);
         mRegistry.remove(ID, 0);
 
         assertThat(mEvents.mEvents).containsExactly("retained 1/1");
--- a/gateway/src/main/java/org/catkinproxy/gateway/ConfigWatcher.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ConfigWatcher.java
@@ -74,7 +74,7 @@
     }
 
     @Override
-    public void onDisconnected(CatkinException reason) {
+    public void onDisconnected(CatkinException reason, long attemptedAt) {
         mConnection.onDisconnected(reason);
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/Gateway.java
@@ -45,7 +45,7 @@
  * <p>Must only be used on its event loop, except for {@link #stop}, which any thread may call.
  */
 public final class Gateway {
-    private static final long SWEEP_INTERVAL_MILLIS = StorePolling.PROBER_INTERVAL.toMillis();
+    private static final long SWEEP_INTERVAL_MILLIS = StorePolling.SWEEP_INTERVAL.toMillis();
 
     private final EventLoop mLoop;
     private final GatewaySettings mSettings;
--- a/gateway/src/main/java/org/catkinproxy/gateway/InstanceRegistry.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/InstanceRegistry.java
@@ -20,6 +20,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -204,10 +205,18 @@
                 mPeerAddress,
                 mGateway.isReady(),
                 mGateway.isStoreReachable(),
+                storeAnsweredNanosAgo(),
                 loadByUpstream,
                 tablePositions);
     }
 
+    private OptionalLong storeAnsweredNanosAgo() {
+        OptionalLong answeredAt = mGateway.upstreamTracker().storeAnsweredAt();
+        return answeredAt.isPresent()
+                ? OptionalLong.of(mGateway.now() - answeredAt.getAsLong())
+                : OptionalLong.empty();
+    }
+
     /**
      * Handles a heartbeat.
      *
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessage.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessage.java
@@ -12,6 +12,7 @@
 import org.catkinproxy.serving.StorePosition;
 
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * A message that one instance sends to others in one datagram.
@@ -29,6 +30,8 @@
      * @param peerAddress the address to which datagrams are sent
      * @param ready whether the instance accepts callers
      * @param storeReachable whether the store responded to the instance's last polls
+     * @param storeAnsweredNanosAgo the time since the store last answered one of the instance's
+     *     polls of the upstreams, in ns, empty if it has not yet
      * @param loadByUpstream the instance's open requests, by upstream
      * @param tablePositions the position of the newest change that it has seen of each store table,
      *     or the start of a later era of the store
@@ -39,6 +42,7 @@
             HostAndPort peerAddress,
             boolean ready,
             boolean storeReachable,
+            OptionalLong storeAnsweredNanosAgo,
             Map<InstanceId, PeerLoads.Load> loadByUpstream,
             Map<String, StorePosition> tablePositions)
             implements PeerMessage {
@@ -47,6 +51,7 @@
             checkNotNull(instance, "instance");
             checkNotNull(callerAddress, "callerAddress");
             checkNotNull(peerAddress, "peerAddress");
+            checkNotNull(storeAnsweredNanosAgo, "storeAnsweredNanosAgo");
             loadByUpstream = Map.copyOf(loadByUpstream);
             tablePositions = Map.copyOf(tablePositions);
         }
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessageCodec.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessageCodec.java
@@ -20,6 +20,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -30,7 +31,7 @@
  * and so safe for use by any thread.
  */
 final class PeerMessageCodec {
-    private static final byte FORMAT_VERSION = 3;
+    private static final byte FORMAT_VERSION = 4;
     private static final byte HEARTBEAT = 1;
     private static final byte CACHE_UPDATE = 2;
     private static final byte ROLLOUT_UPDATE = 3;
@@ -87,6 +88,7 @@
         out.writeString(heartbeat.peerAddress().toString());
         out.writeBool(heartbeat.ready());
         out.writeBool(heartbeat.storeReachable());
+        writeOptionalTime(out, heartbeat.storeAnsweredNanosAgo());
         writeMap(
                 out,
                 heartbeat.loadByUpstream(),
@@ -99,6 +101,17 @@
                 PeerMessageCodec::writePosition);
     }
 
+    private static void writeOptionalTime(TProtocol out, OptionalLong nanos) throws TException {
+        out.writeBool(nanos.isPresent());
+        if (nanos.isPresent()) {
+            writeTime(out, nanos.getAsLong());
+        }
+    }
+
+    private static OptionalLong readOptionalTime(TProtocol in) throws TException {
+        return in.readBool() ? OptionalLong.of(readTime(in)) : OptionalLong.empty();
+    }
+
     private static void writePosition(TProtocol out, StorePosition position) throws TException {
         out.writeI64(position.era());
         out.writeI64(position.version());
@@ -197,6 +210,7 @@
                 HostAndPort.fromString(in.readString()),
                 in.readBool(),
                 in.readBool(),
+                readOptionalTime(in),
                 readMap(in, PeerMessageCodec::readId, PeerMessageCodec::readLoad),
                 readMap(in, TProtocol::readString, PeerMessageCodec::readPosition));
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PeerMessenger.java
@@ -142,6 +142,12 @@
         mGateway.peerLoads()
                 .update(heartbeat.instance(), heartbeat.loadByUpstream(), mGateway.now());
         heartbeat.tablePositions().forEach(mGateway.tableWatches()::onPositionHint);
+        heartbeat
+                .storeAnsweredNanosAgo()
+                .ifPresent(
+                        nanosAgo ->
+                                mGateway.upstreamTracker()
+                                        .onPeerAnswered(mGateway.now() - nanosAgo));
         if (!heartbeat.storeReachable()) {
             mGateway.onPeerStoreOutage();
         }
--- a/gateway/src/main/java/org/catkinproxy/gateway/PooledHttpClient.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PooledHttpClient.java
@@ -5,6 +5,7 @@
 import org.catkinproxy.error.Outcome;
 import org.catkinproxy.error.Step;
 import org.catkinproxy.serving.BufferBudget;
+import org.catkinproxy.serving.StorePolling;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -60,7 +61,7 @@
     /** Limit for a response; a page of rows has at most 1 MiB, apart from its encoding. */
     private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
-    private static final int CONNECT_TIMEOUT_MILLIS = 700;
+    private static final int CONNECT_TIMEOUT_MILLIS = (int) StorePolling.CONNECT_TIMEOUT.toMillis();
 
     /** Maximum number of idle connections to one address. */
     private static final int MAX_IDLE_PER_ADDRESS = 4;
--- a/gateway/src/main/java/org/catkinproxy/gateway/StoreProber.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StoreProber.java
@@ -51,7 +51,7 @@
     /** Returns whether the usual heartbeats would report a change later than the prober has to. */
     private boolean areHeartbeatsRare() {
         return FleetIntervals.heartbeatInterval(mGateway.instanceCount())
-                        .compareTo(StorePolling.PROBER_INTERVAL)
+                        .compareTo(StorePolling.SWEEP_INTERVAL)
                 > 0;
     }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/TableWatch.java
@@ -28,7 +28,7 @@
  */
 public final class TableWatch {
     private static final long INITIAL_BACKOFF_MILLIS = 100;
-    private static final long MAX_BACKOFF_MILLIS = 800;
+    private static final long MAX_BACKOFF_MILLIS = StorePolling.MAX_RETRY_INTERVAL.toMillis();
 
     /** Receives the rows of a table. */
     public interface Listener {
@@ -48,8 +48,12 @@
         /** Called after each response of the store. */
         void onConnected();
 
-        /** Called after each failure of the store. */
-        void onDisconnected(CatkinException reason);
+        /**
+         * Called after each failure of the store.
+         *
+         * @param attemptedAt when the failed call was started, in ns of the monotonic clock
+         */
+        void onDisconnected(CatkinException reason, long attemptedAt);
 
         /**
          * Called when the open poll has missed a change and is replaced, or when a reading is
@@ -97,6 +101,7 @@
     private final ReadingFreshness mFreshness = ReadingFreshness.create();
     private long mBackoffMillis = INITIAL_BACKOFF_MILLIS;
     private Disposable mPoll = Disposable.disposed();
+    private long mPollStartedAt;
     private Optional<Future<?>> mNextPoll = Optional.empty();
     private boolean mCheckScheduled;
 
@@ -208,15 +213,15 @@
     }
 
     private void poll() {
+        mPollStartedAt = System.nanoTime();
         if (mPosition.isEmpty()) {
             mPoll = mStore.read(mTable).subscribe(this::onTable, this::onFailure);
             return;
         }
         Duration wait = nextPollTimeout();
-        long startedAt = System.nanoTime();
         mPoll =
                 mStore.changes(mTable, mPosition.get(), wait)
-                        .subscribe(rows -> onChanges(rows, startedAt, wait), this::onFailure);
+                        .subscribe(rows -> onChanges(rows, wait), this::onFailure);
         Disposable poll = mPoll;
         if (!mPollsWithoutWait && !poll.isDisposed()) {
             schedule(() -> checkOverdue(poll), wait.plus(mResponseGrace));
@@ -273,19 +278,22 @@
                         mTable,
                         Outcome.NOT_RUN,
                         "rows cannot be handled: " + failure,
-                        failure));
+                        failure),
+                System.nanoTime());
         mPosition = Optional.empty();
         pollAfterBackoff();
     }
 
+    /** Polls again; the backoff counts from the start of the last attempt, which may time out. */
     private void pollAfterBackoff() {
-        pollAfter(mBackoffMillis);
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mPollStartedAt);
+        pollAfter(Math.max(0, mBackoffMillis - elapsedMillis));
         mBackoffMillis = Math.min(2 * mBackoffMillis, MAX_BACKOFF_MILLIS);
     }
 
-    private void onChanges(TableStore.Rows rows, long startedAt, Duration wait) {
+    private void onChanges(TableStore.Rows rows, Duration wait) {
         if (rows.rows().isEmpty()) {
-            Duration elapsed = Duration.ofNanos(System.nanoTime() - startedAt);
+            Duration elapsed = Duration.ofNanos(System.nanoTime() - mPollStartedAt);
             mResponseGrace = StorePolling.responseGrace(elapsed.minus(wait));
         }
         mListener.onConnected();
@@ -337,7 +345,7 @@
             throw new IllegalStateException(
                     "watch of table " + mTable + " failed unexpectedly", failure);
         }
-        mListener.onDisconnected((CatkinException) failure);
+        mListener.onDisconnected((CatkinException) failure, mPollStartedAt);
         mPollsWithoutWait = true;
         pollAfterBackoff();
     }
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamTracker.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Tracks the listed upstreams and this instance's state of each.
@@ -124,6 +125,16 @@
         return mRegistry.onPeerStoreOutage(mGateway.now());
     }
 
+    /** Handles a peer's report that the store has answered it at {@code answeredAt}. */
+    void onPeerAnswered(long answeredAt) {
+        mRegistry.onPeerAnswered(answeredAt);
+    }
+
+    /** Returns when the store last answered this instance, empty if it has not yet. */
+    OptionalLong storeAnsweredAt() {
+        return mRegistry.storeAnsweredAt();
+    }
+
     /** Handles a return of the store from a copy. */
     void onStoreRestored() {
         mRegistry.onStoreRestored(mGateway.now());
@@ -286,8 +297,8 @@
     }
 
     @Override
-    public void onDisconnected(CatkinException reason) {
-        mRegistry.onStoreUnavailable(mGateway.now());
+    public void onDisconnected(CatkinException reason, long attemptedAt) {
+        mRegistry.onStoreUnavailable(mGateway.now(), attemptedAt);
         mConnection.onDisconnected(reason);
     }
 
--- a/gateway/src/test/java/org/catkinproxy/gateway/PeerMessageCodecTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/PeerMessageCodecTest.java
@@ -28,6 +28,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** Checks that messages survive the encoding, and that invalid datagrams are rejected. */
@@ -48,12 +49,22 @@
                             HostAndPort.fromParts("10.0.0.1", 7_340),
                             true,
                             false,
+                            OptionalLong.of(1_250_000_000L),
                             Map.of(InstanceId.of("engine"), new PeerLoads.Load(3, 40_000, 3, 90)),
                             Map.of(
                                     "upstreams",
                                     new StorePosition(3, 812),
                                     "operators",
                                     new StorePosition(4, 0))),
+                    new PeerMessage.Heartbeat(
+                            SELF,
+                            ADDRESS,
+                            ADDRESS,
+                            false,
+                            true,
+                            OptionalLong.empty(),
+                            Map.of(),
+                            Map.of()),
                     new PeerMessage.CacheUpdate(
                             SELF, ADDRESS, true, Map.of(-1L, 0, Long.MIN_VALUE, 512, 7L, 3)),
                     new PeerMessage.RolloutUpdate(
--- a/gateway/src/test/java/org/catkinproxy/gateway/TableWatchTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/TableWatchTest.java
@@ -412,7 +412,7 @@
         }
 
         @Override
-        public void onDisconnected(CatkinException reason) {
+        public void onDisconnected(CatkinException reason, long attemptedAt) {
             mDisconnectCount++;
         }
     }
