Reject responses that deviate from the protocol instead of correcting them

Callers got an upstream's status 000, 099, 600 or 1000 as a response, a field X for 'X Bad: 1', two of four bytes for 'Content-Length : 2', HTTP/2.0 and http/1.1 as HTTP/1.1, and a body with an unknown transfer coding.

Cause: the library's decoder corrects what it reads before anyone can judge it. The kernel takes a whole upload into its buffer, so that 'written' says nothing of what was read; and no read shows a reset that follows the end of a connection.

Did not happen before either: control bytes in a field's name, two lengths, a length beside chunks, '+4', '0x4', a bare line feed (502). In the daemon: odd statuses and versions.

Change: StrictResponseDecoder decodes by itself, for upstreams and for the calls to the store and to engines. After the end of a body without framing, whose request had a body, ConnectionEndHandler waits 25 ms and writes an empty line, which fails after a reset. The daemon's clients have StrictResponseInterceptor.

An early response without a length is still believed if its upstream reads the whole request and ends in peace, as EarlyResponseTest asks.

--- a/daemon/src/main/java/org/catkinproxy/orders/HttpEngineControl.java
+++ b/daemon/src/main/java/org/catkinproxy/orders/HttpEngineControl.java
@@ -9,6 +9,7 @@
 import org.catkinproxy.error.Outcome;
 import org.catkinproxy.error.Step;
 import org.catkinproxy.http.LimitedSocketFactory;
+import org.catkinproxy.http.StrictResponseInterceptor;
 import org.catkinproxy.id.FencingNumber;
 import org.catkinproxy.id.Revision;
 import org.catkinproxy.id.Weights;
@@ -58,6 +59,7 @@
                 new OkHttpClient.Builder()
                         .connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS))
                         .socketFactory(LimitedSocketFactory.of(MAX_RESPONSE_BYTES))
+                        .addNetworkInterceptor(StrictResponseInterceptor.create())
                         .proxy(Proxy.NO_PROXY)
                         .retryOnConnectionFailure(false)
                         .followRedirects(false)
--- a/daemon/src/main/java/org/catkinproxy/platform/PlatformClient.java
+++ b/daemon/src/main/java/org/catkinproxy/platform/PlatformClient.java
@@ -11,6 +11,7 @@
 import org.catkinproxy.error.Outcome;
 import org.catkinproxy.error.Step;
 import org.catkinproxy.http.LimitedSocketFactory;
+import org.catkinproxy.http.StrictResponseInterceptor;
 
 import io.reactivex.rxjava3.core.Single;
 import okhttp3.Call;
@@ -75,6 +76,7 @@
                                 new ConnectionPool(
                                         MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
                         .socketFactory(LimitedSocketFactory.of(MAX_RESPONSE_BYTES))
+                        .addNetworkInterceptor(StrictResponseInterceptor.create())
                         .callTimeout(timeout)
                         .retryOnConnectionFailure(false)
                         .followRedirects(false)
--- a/daemon/src/main/java/org/catkinproxy/service/OkHttpServiceClient.java
+++ b/daemon/src/main/java/org/catkinproxy/service/OkHttpServiceClient.java
@@ -5,6 +5,7 @@
 
 import org.catkinproxy.call.CallResponse;
 import org.catkinproxy.http.LimitedSocketFactory;
+import org.catkinproxy.http.StrictResponseInterceptor;
 import org.catkinproxy.id.IdempotencyKey;
 
 import io.reactivex.rxjava3.core.Single;
@@ -73,6 +74,7 @@
                         .connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS))
                         .protocols(List.of(Protocol.HTTP_1_1))
                         .socketFactory(LimitedSocketFactory.of(MAX_WIRE_BYTES))
+                        .addNetworkInterceptor(StrictResponseInterceptor.create())
                         .proxy(Proxy.NO_PROXY)
                         .retryOnConnectionFailure(false)
                         .followRedirects(false)
--- a/daemon/src/main/java/org/catkinproxy/upstream/HttpEngineClient.java
+++ b/daemon/src/main/java/org/catkinproxy/upstream/HttpEngineClient.java
@@ -9,6 +9,7 @@
 import org.catkinproxy.error.Outcome;
 import org.catkinproxy.error.Step;
 import org.catkinproxy.http.LimitedSocketFactory;
+import org.catkinproxy.http.StrictResponseInterceptor;
 import org.catkinproxy.id.RequestId;
 import org.catkinproxy.route.EngineReport;
 import org.catkinproxy.route.RouteEvent;
@@ -72,6 +73,7 @@
                         .connectTimeout(timeouts.connectMillis(), TimeUnit.MILLISECONDS)
                         .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
                         .socketFactory(LimitedSocketFactory.of(MAX_STREAM_BYTES))
+                        .addNetworkInterceptor(StrictResponseInterceptor.create())
                         .build();
         mStreams =
                 base.newBuilder()
--- a/daemon/src/test/java/org/catkinproxy/service/OkHttpServiceClientTest.java
+++ b/daemon/src/test/java/org/catkinproxy/service/OkHttpServiceClientTest.java
@@ -117,6 +117,33 @@
         }
     }
 
+    /** Guards against an answer that a service in trouble did not give. */
+    @Example
+    void malformedResponseIsDiscarded() throws IOException {
+        String length = "Content-Length: 4\r\n";
+        List<String> heads =
+                List.of(
+                        "HTTP/1.1 000 Odd\r\n" + KEY_HEADER_LINE + length,
+                        "HTTP/1.1 099 Odd\r\n" + KEY_HEADER_LINE + length,
+                        "HTTP/1.1 600 Odd\r\n" + KEY_HEADER_LINE + length,
+                        "HTTP/1.1 -20 Odd\r\n" + KEY_HEADER_LINE + length,
+                        "HTTP/2.0 200 OK\r\n" + KEY_HEADER_LINE + length,
+                        "HTTP/1.1 200 OK\r\n" + KEY_HEADER_LINE + length + "X Bad: 1\r\n",
+                        "HTTP/1.1 200 OK\r\n" + KEY_HEADER_LINE + length + "X\u0001Bad: 1\r\n",
+                        "HTTP/1.1 200 OK\r\n" + KEY_HEADER_LINE + length + "X-Bad: \u0001\r\n",
+                        "HTTP/1.1 200 OK\r\n" + KEY_HEADER_LINE + "Content-Length : 2\r\n",
+                        "HTTP/1.1 200 OK\r\n" + KEY_HEADER_LINE + length + length,
+                        "HTTP/1.1 200 OK\r\n" + KEY_HEADER_LINE + "Transfer-Encoding: other\r\n",
+                        "HTTP/1.1 200 OK\r\n" + KEY_HEADER_LINE);
+        for (String head : heads) {
+            try (FixedResponseServer server =
+                    FixedResponseServer.respondingWith(head + "\r\ndone")) {
+                SendResult result = send(server.address(), "POST", LONG_TIMEOUT);
+                assertWithMessage(head).that(result).isInstanceOf(SendResult.ResponseLost.class);
+            }
+        }
+    }
+
     @Example
     void truncatedResponseIsDiscarded() throws IOException {
         String truncated =
--- a/gateway/src/main/java/org/catkinproxy/gateway/PooledHttpClient.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PooledHttpClient.java
@@ -211,7 +211,7 @@
             mChannel = channel;
             mSent = true;
             ResponseHandler handler = channel.pipeline().get(ResponseHandler.class);
-            handler.start(this, request.method());
+            handler.start(this, request.method(), request.content().isReadable());
             channel.writeAndFlush(request).addListener(handler::onWritten);
         }
 
@@ -291,6 +291,7 @@
         protected void initChannel(Channel channel) {
             StrictResponseDecoder decoder = new StrictResponseDecoder();
             channel.pipeline()
+                    .addLast(new ConnectionEndHandler())
                     .addLast(decoder)
                     .addLast(new HttpRequestEncoder())
                     .addLast(new ResponseHandler(decoder));
@@ -316,11 +317,11 @@
         }
 
         /** Starts to accept the response to a call's request. */
-        void start(Call call, HttpMethod method) {
+        void start(Call call, HttpMethod method, boolean hasBody) {
             mCall = call;
             mRequestWritten = false;
             mInterimResponses = 0;
-            mDecoder.onRequestSent(method);
+            mDecoder.onRequestSent(method, hasBody);
         }
 
         void onWritten(Future<?> write) {
@@ -344,7 +345,7 @@
 
         private void read(HttpObject message) {
             if (message.decoderResult().isFailure()) {
-                fail("response is malformed");
+                fail("response is malformed: " + message.decoderResult().cause());
                 return;
             }
             if (message instanceof HttpResponse head) {
@@ -379,7 +380,7 @@
         }
 
         private void end() {
-            boolean endsWithConnection = mDecoder.endsWithConnection(mHead);
+            boolean endsWithConnection = mDecoder.endsWithConnection();
             if (endsWithConnection && !mRequestWritten) {
                 fail("connection closed before the request was written");
                 return;
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnection.java
@@ -125,7 +125,7 @@
         mInResponse = false;
         mDiscardedResponses = 0;
         mDiscardedBytes = 0;
-        mDecoder.onRequestSent(method);
+        mDecoder.onRequestSent(method, body.isReadable());
         if (body.isReadable() || method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
@@ -175,7 +175,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            fail(SendFailure.GARBLED, "response is malformed");
+            fail(SendFailure.GARBLED, "response is malformed: " + message.decoderResult().cause());
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -201,7 +201,7 @@
             return;
         }
         mInResponse = true;
-        mEndsWithConnection = mDecoder.endsWithConnection(response);
+        mEndsWithConnection = mDecoder.endsWithConnection();
         mReusable &= !head.closesConnection() && head.requestId().isPresent();
         mKeepAliveSeconds = head.keepAliveSeconds().orElse(Integer.MAX_VALUE);
         mListener.onHead(response, head);
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnectionPool.java
@@ -190,6 +190,7 @@
         @Override
         protected void initChannel(Channel channel) {
             channel.pipeline()
+                    .addLast(new ConnectionEndHandler())
                     .addLast(mDecoder)
                     .addLast(new HttpRequestEncoder())
                     .addLast(mConnection);
--- a/gateway/src/test/java/org/catkinproxy/gateway/PooledHttpClientTest.java
+++ b/gateway/src/test/java/org/catkinproxy/gateway/PooledHttpClientTest.java
@@ -190,6 +190,27 @@
         }
     }
 
+    /** Guards against a row, report or order that a server in trouble did not answer so. */
+    @Example
+    void malformedResponseIsNoResponse() throws Exception {
+        String length = "Content-Length: 2\r\n";
+        List<String> responses =
+                List.of(
+                        "HTTP/1.1 000 Odd\r\n" + length + "\r\n{}",
+                        "HTTP/1.1 999 Odd\r\n" + length + "\r\n{}",
+                        "HTTP/9.9 200 OK\r\n" + length + "\r\n{}",
+                        OK + length + "X Bad: 1\r\n\r\n{}",
+                        OK + length + "X\u0001Bad: 1\r\n\r\n{}",
+                        OK + "Content-Length : 1\r\n\r\n{}",
+                        OK + "Transfer-Encoding: other\r\n\r\n{}",
+                        OK + "Transfer-Encoding: chunked\r\n\r\n2\u0000\r\n{}\r\n0\r\n\r\n");
+        for (String response : responses) {
+            assertWithMessage(response)
+                    .that(result(false, response))
+                    .isEqualTo(Outcome.UNKNOWN.toString());
+        }
+    }
+
     @Example
     void bodyWithoutLengthEndsWithTheConnection() throws Exception {
         assertThat(result(false, OK + "\r\n{}")).isEqualTo("200 {}");
