Write no body in responses to HEAD requests

Cause: the encoder of the responses to callers did not know the request's method.

Change: CallerResponseEncoder knows it and drops the body, whoever sends the response.

--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -63,6 +63,7 @@
 
     private final Gateway mGateway;
     private final StrictRequestDecoder mDecoder;
+    private final CallerResponseEncoder mEncoder;
     private final Deque<HttpObject> mPipelined = new ArrayDeque<>();
     private Channel mChannel;
 
@@ -86,9 +87,10 @@
     private long mAcceptedAt;
     private long mAcceptWaitNanos;
 
-    CallerConnection(Gateway gateway, StrictRequestDecoder decoder) {
+    CallerConnection(Gateway gateway, StrictRequestDecoder decoder, CallerResponseEncoder encoder) {
         mGateway = gateway;
         mDecoder = decoder;
+        mEncoder = encoder;
     }
 
     @Override
@@ -163,6 +165,7 @@
             }
             if (message instanceof HttpRequest request) {
                 mRequest = request;
+                mEncoder.onRequest(request.method());
                 mBody = Unpooled.compositeBuffer();
                 sendContinueIfExpected(request);
             }
@@ -309,9 +312,14 @@
                 Unpooled.wrappedBuffer(body));
     }
 
-    /** Sends a full response and releases {@code body}. */
+    /**
+     * Sends a full response and releases {@code body}. The response to a HEAD request has the
+     * length that its body would have, or none if there is no body to tell.
+     */
     void sendResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
-        headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        if (body.isReadable() || !mEncoder.isHeadRequest()) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        }
         boolean close = setConnectionClose(headers);
         ChannelFuture written =
                 mChannel.writeAndFlush(
--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerListener.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerListener.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 
 import java.net.InetSocketAddress;
 
@@ -36,10 +35,11 @@
                             protected void initChannel(Channel channel) {
                                 StrictRequestDecoder decoder =
                                         new StrictRequestDecoder(gateway.limits().maxHeaderBytes());
+                                CallerResponseEncoder encoder = new CallerResponseEncoder();
                                 channel.pipeline()
                                         .addLast(decoder)
-                                        .addLast(new HttpResponseEncoder())
-                                        .addLast(new CallerConnection(gateway, decoder));
+                                        .addLast(encoder)
+                                        .addLast(new CallerConnection(gateway, decoder, encoder));
                             }
                         })
                 .bind(address);
