--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -5,7 +5,6 @@
 import org.catkinproxy.serving.RetryAfterPolicy;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -76,7 +75,10 @@
     private long mUnwrittenBytes;
 
     private HttpRequest mRequest;
-    private CompositeByteBuf mBody;
+
+    /** What has arrived of the request's body, null before its first byte. */
+    private BodyBuffer mBody;
+
     private Exchange mExchange;
     private boolean mCloseAfterResponse;
 
@@ -166,7 +168,6 @@
             if (message instanceof HttpRequest request) {
                 mRequest = request;
                 mEncoder.onRequest(request.method());
-                mBody = Unpooled.compositeBuffer();
                 sendContinueIfExpected(request);
             }
             if (message instanceof HttpContent content && mRequest != null) {
@@ -188,19 +189,24 @@
     }
 
     private void appendBody(HttpContent content) {
-        if (content.content().isReadable()) {
-            mBody.addComponent(true, content.content().retain());
-        }
-        if (mBody.readableBytes() > mGateway.limits().maxBodyBytes()) {
+        boolean fits = !content.content().isReadable() || bufferBody(content.content());
+        if (!fits) {
             refuseAndClose(ErrorCode.BODY_TOO_LARGE, 0);
         } else if (content instanceof LastHttpContent) {
             startExchange();
         }
     }
 
+    private boolean bufferBody(ByteBuf piece) {
+        if (mBody == null) {
+            mBody = BodyBuffer.ofRequest(mGateway.limits().maxBodyBytes());
+        }
+        return mBody.append(piece);
+    }
+
     private void startExchange() {
         HttpRequest request = mRequest;
-        ByteBuf body = mBody;
+        ByteBuf body = mBody == null ? Unpooled.EMPTY_BUFFER : mBody.bytes();
         mRequest = null;
         mBody = null;
         mClosedByCaller = !HttpUtil.isKeepAlive(request);
