Observe the lease's row before it is needed

Change: each instance reads the row at its start, in a new era, and 1.5 s after a rollout, without an attempt to acquire the lease (LeaseEvent.Observe). Two reads with one version show that nothing was written between, so a row that stays unchanged can be taken over at once when weights are named. The invariant is as before: whoever takes over has itself seen the row unchanged for the whole time to live.

Evidence: LeaseStateMachineTest has the takeover, and 400 simulated runs in which contenders only observe for some times, with faults and returns from copies.

--- a/core/src/main/java/org/catkinproxy/order/LeaseEvent.java
+++ b/core/src/main/java/org/catkinproxy/order/LeaseEvent.java
@@ -7,6 +7,12 @@
     /** Time has passed; sent periodically. */
     record Tick() implements LeaseEvent {}
 
+    /**
+     * The row should be read without an attempt to acquire the lease, so that one that stays
+     * unchanged can be taken over without a wait later.
+     */
+    record Observe() implements LeaseEvent {}
+
     /**
      * The store has named its era, in a response to any call.
      *
--- a/core/src/main/java/org/catkinproxy/order/LeaseStateMachine.java
+++ b/core/src/main/java/org/catkinproxy/order/LeaseStateMachine.java
@@ -13,12 +13,13 @@
  * Acquires, renews and loses one lease on behalf of one contender.
  *
  * <p>Clocks of different instances are never compared. A contender takes the lease over once it has
- * itself observed the row unchanged for the whole time to live. The holder's lease ends after three
- * quarters of the time to live, counted from when the holder issued its last successful write. No
- * other contender can have observed that write before it was issued, so at most one contender holds
- * the lease at a time as long as all clocks run at about the same rate. A holder that was paused
- * for longer finds its lease expired when it resumes. Orders that are in flight when a lease
- * expires are not covered here; the fencing number protects against these.
+ * itself observed the row unchanged for the whole time to live; two reads with the same version
+ * show that. The holder's lease ends after three quarters of the time to live, counted from when
+ * the holder issued its last successful write. No other contender can have observed that write
+ * before it was issued, so at most one contender holds the lease at a time as long as all clocks
+ * run at about the same rate. A holder that was paused for longer finds its lease expired when it
+ * resumes. Orders that are in flight when a lease expires are not covered here; the fencing number
+ * protects against these.
  *
  * <p>A store that comes back from a copy may have lost the row, and begins a new era. A lease ends
  * with its era. Each era has a row of its own, so that a write that takes effect in a later era
@@ -42,6 +43,10 @@
     private final long mTtlNanos;
 
     private boolean mActionPending;
+
+    /** Whether the pending read only observes the row. */
+    private boolean mObserving;
+
     private Optional<Long> mLastReadAt = Optional.empty();
 
     /** The newest era of the store that is known, negative before the first. */
@@ -112,6 +117,9 @@
         if (event instanceof LeaseEvent.Tick) {
             return mActionPending ? Optional.empty() : onTick(now);
         }
+        if (event instanceof LeaseEvent.Observe) {
+            return mActionPending ? Optional.empty() : observe(now);
+        }
         if (event instanceof LeaseEvent.Superseded) {
             mHeldLease = Optional.empty();
             mSuperseded = true;
@@ -121,10 +129,16 @@
             observeEra(observed.era(), now);
             return Optional.empty();
         }
+        boolean wasObserving = mObserving;
         mActionPending = false;
+        mObserving = false;
         if (event instanceof LeaseEvent.RowRead read) {
             observeEra(read.era(), now);
-            return isOfCurrentEra(read.era()) ? onRead(read.row(), now) : Optional.empty();
+            if (!isOfCurrentEra(read.era())) {
+                return Optional.empty();
+            }
+            read.row().ifPresent(row -> recordSeen(row, now));
+            return wasObserving ? Optional.empty() : onRead(read.row(), now);
         }
         if (event instanceof LeaseEvent.RowWritten written) {
             observeEra(written.era(), now);
@@ -167,10 +181,6 @@
                     : write(StoredLease.ABSENT_VERSION, nextNumber(FencingNumber.NONE), now);
         }
         StoredLease found = row.get();
-        if (found.version() != mSeenVersion) {
-            mSeenVersion = found.version();
-            mSeenSince = now;
-        }
         if (isOwn(found.row())) {
             return renew(found, now);
         }
@@ -181,6 +191,13 @@
         return write(found.version(), nextNumber(found.row().fencingNumber()), now);
     }
 
+    private void recordSeen(StoredLease found, long now) {
+        if (found.version() != mSeenVersion) {
+            mSeenVersion = found.version();
+            mSeenSince = now;
+        }
+    }
+
     private FencingNumber nextNumber(FencingNumber last) {
         return FencingNumber.max(last, FencingNumber.floorOfEra(mEra)).next();
     }
@@ -217,6 +234,11 @@
         return row.holder().equals(mSelf) && row.session().equals(mSession);
     }
 
+    private Optional<LeaseAction> observe(long now) {
+        mObserving = true;
+        return read(now);
+    }
+
     private Optional<LeaseAction> read(long now) {
         mActionPending = true;
         mLastReadAt = Optional.of(now);
--- a/core/src/test/java/org/catkinproxy/order/LeaseStateMachineTest.java
+++ b/core/src/test/java/org/catkinproxy/order/LeaseStateMachineTest.java
@@ -55,6 +55,47 @@
         }
     }
 
+    /** Contenders that do not want the lease for a while read its row now and then. */
+    @Property(seed = "1", tries = 400)
+    void atMostOneHolderWhileContendersOnlyObserve(
+            @ForAll long seed, @ForAll @DoubleRange(min = 0, max = 0.5) double faultRate) {
+        Simulation simulation =
+                new Simulation(seed, faultRate, TTL_MILLIS).withRestorations().withIdleTimes();
+        simulation.run();
+        assertThat(simulation.mMaxHolders).isAtMost(1);
+        assertThat(simulation.mFencingNumberDecreased).isFalse();
+    }
+
+    /**
+     * Guards against weights that wait for the time to live when the last holder has stopped long
+     * ago (hunt-720f-3).
+     */
+    @Example
+    void observedRowIsTakenOverAtOnce() {
+        LeaseStateMachine machine =
+                LeaseStateMachine.of(InstanceId.of("r"), "s", Duration.ofMillis(TTL_MILLIS));
+        LeaseRow other = new LeaseRow(InstanceId.of("q"), "t", FencingNumber.of(3), 1);
+        LeaseEvent read = new LeaseEvent.RowRead(0, Optional.of(new StoredLease(5, other)));
+        assertThat(machine.handle(new LeaseEvent.Observe(), 0)).isPresent();
+        assertThat(machine.handle(read, 0)).isEmpty();
+
+        long later = TTL_MILLIS * NANOS_PER_MILLI;
+        assertThat(machine.handle(new LeaseEvent.Tick(), later)).isPresent();
+        LeaseAction.WriteRow write = (LeaseAction.WriteRow) machine.handle(read, later).get();
+        assertThat(write.row().fencingNumber()).isEqualTo(FencingNumber.of(4));
+        assertThat(write.expectedVersion()).isEqualTo(5);
+    }
+
+    @Example
+    void observingAcquiresNothing() {
+        LeaseStateMachine machine =
+                LeaseStateMachine.of(InstanceId.of("r"), "s", Duration.ofMillis(TTL_MILLIS));
+        machine.handle(new LeaseEvent.Observe(), 0);
+        assertThat(machine.handle(new LeaseEvent.RowRead(0, Optional.empty()), 0)).isEmpty();
+        machine.handle(new LeaseEvent.Tick(), 0);
+        assertThat(machine.handle(new LeaseEvent.RowRead(0, Optional.empty()), 0)).isPresent();
+    }
+
     @Example
     void contendersThatDoNotKnowTheEraAreDetected() {
         boolean detectsHolders = false;
@@ -149,6 +190,7 @@
         private long mStoreVersion;
         private long mEra;
         private boolean mErasAreTold = true;
+        private boolean mHasIdleTimes;
         private FencingNumber mHighestNumber = FencingNumber.NONE;
         private String mHighestHolder = "";
         private long mNow;
@@ -193,6 +235,12 @@
             return this;
         }
 
+        /** Makes contenders want the lease for some times only. */
+        Simulation withIdleTimes() {
+            mHasIdleTimes = true;
+            return this;
+        }
+
         private long nextRestorationMillis() {
             return mRandom.nextInt((int) (5 * TTL_MILLIS));
         }
@@ -249,6 +297,7 @@
             private final String mName;
             private final LeaseStateMachine mMachine;
             private long mPausedUntilMillis;
+            private boolean mIdle;
 
             Contender(String name, long ttlMillis) {
                 mName = name;
@@ -271,7 +320,14 @@
                 if (mRandom.nextInt(100) == 0) {
                     mPausedUntilMillis = mNow + mRandom.nextInt((int) (3 * TTL_MILLIS));
                 }
-                deliver(new LeaseEvent.Tick());
+                if (mHasIdleTimes && mRandom.nextInt(60) == 0) {
+                    mIdle = !mIdle;
+                }
+                if (!mIdle) {
+                    deliver(new LeaseEvent.Tick());
+                } else if (mRandom.nextInt(10) == 0) {
+                    deliver(new LeaseEvent.Observe());
+                }
                 schedule(50, this::tick);
             }
 
--- a/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
@@ -31,14 +31,18 @@
  * Rolls out the desired weights to all engines while this instance holds the rollout lease.
  *
  * <p>The instance tries to acquire the lease only while an engine has outdated weights, and lets it
- * expire after that. A stopping instance keeps a lease that it holds, but does not acquire one.
- * Used by the event loop only.
+ * expire after that. It reads the lease's row once before, so that it can take the lease over at
+ * once if the last holder stops just as weights are named. A stopping instance keeps a lease that
+ * it holds, but does not acquire one. Used by the event loop only.
  */
 final class RolloutTask {
     private static final String LEASE_TABLE = "leases";
     private static final String LEASE_KEY = "weights";
     private static final long TICK_MILLIS = 50;
 
+    /** Time after a rollout in which the holder of the lease has written its row last. */
+    private static final long OBSERVE_DELAY_NANOS = 1_500_000_000L;
+
     private final Gateway mGateway;
     private final EventLoop mLoop;
     private final TableStore mStore;
@@ -55,6 +59,11 @@
 
     private Optional<FencingNumber> mFencingNumber = Optional.empty();
 
+    /** Whether the lease's row has to be observed once no rollout is needed, and from when on. */
+    private boolean mObserveDue = true;
+
+    private long mObserveAt = System.nanoTime();
+
     RolloutTask(
             Gateway gateway,
             TableStore store,
@@ -83,6 +92,7 @@
 
     /** Handles a new era of the store, which ends a lease that is held. */
     void onNewEra(long era) {
+        mObserveDue = true;
         handleLeaseEvent(new LeaseEvent.EraObserved(era));
         recordHolding(mLease.heldFencingNumber(mGateway.now()));
     }
@@ -100,8 +110,11 @@
                 mRollout.plan(desired, engines, mGateway::openRequestsAt, now);
                 mBroadcast.publish(mRollout.state(now));
             }
+            observeLease(now);
             return;
         }
+        mObserveDue = true;
+        mObserveAt = now + OBSERVE_DELAY_NANOS;
         if (mFencingNumber.isPresent() || mayTryAcquire(now)) {
             mLease.handle(new LeaseEvent.Tick(), now).ifPresent(this::performLeaseAction);
         }
@@ -115,6 +128,13 @@
         mLoop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void observeLease(long now) {
+        if (mObserveDue && now - mObserveAt >= 0 && mGateway.isReady()) {
+            mObserveDue = false;
+            handleLeaseEvent(new LeaseEvent.Observe());
+        }
+    }
+
     private boolean mayTryAcquire(long now) {
         int position =
                 LeaseAcquisitionOrder.position(mSelf, mGateway.instanceRegistry().readyPeers());
