Split the handler of a call's response from PooledHttpClient, one copy of HTTP's syntax

The daemon and the gateway check characters and status codes by the same class. No change of behaviour; the tests of both pass.

--- a/daemon/src/main/java/org/catkinproxy/http/StrictResponseInterceptor.java
+++ b/daemon/src/main/java/org/catkinproxy/http/StrictResponseInterceptor.java
@@ -1,5 +1,7 @@
 package org.catkinproxy.http;
 
+import org.catkinproxy.syntax.HttpSyntax;
+
 import okhttp3.Headers;
 import okhttp3.Interceptor;
 import okhttp3.Request;
@@ -19,11 +21,6 @@
  * network interceptor. Stateless and thread-safe.
  */
 public final class StrictResponseInterceptor implements Interceptor {
-    private static final int MIN_STATUS = 100;
-    private static final int MAX_STATUS = 599;
-    private static final String TOKEN_MARKS = "!#$%&'*+-.^_`|~";
-    private static final char DELETE = 0x7f;
-
     private StrictResponseInterceptor() {}
 
     /** Returns an interceptor. */
@@ -44,7 +41,7 @@
     }
 
     private static void check(Request request, Response response) throws IOException {
-        if (response.code() < MIN_STATUS || response.code() > MAX_STATUS) {
+        if (!HttpSyntax.isStatus(response.code())) {
             throw new IOException("response has the status " + response.code());
         }
         Headers headers = response.headers();
@@ -55,24 +52,15 @@
     }
 
     private static void checkField(String name, String value) throws IOException {
-        boolean isToken =
-                !name.isEmpty()
-                        && name.chars().allMatch(StrictResponseInterceptor::isTokenCharacter);
+        boolean isToken = !name.isEmpty() && name.chars().allMatch(HttpSyntax::isTokenCharacter);
         if (!isToken) {
             throw new IOException("response has an invalid name of a field");
         }
-        if (value.chars().anyMatch(c -> (c < ' ' && c != '\t') || c == DELETE)) {
+        if (value.chars().anyMatch(HttpSyntax::isControl)) {
             throw new IOException("response has a control character in the field " + name);
         }
     }
 
-    private static boolean isTokenCharacter(int c) {
-        return (c >= 'a' && c <= 'z')
-                || (c >= 'A' && c <= 'Z')
-                || (c >= '0' && c <= '9')
-                || TOKEN_MARKS.indexOf(c) >= 0;
-    }
-
     private static void checkFraming(Request request, Response response) throws IOException {
         List<String> codings = response.headers("Transfer-Encoding");
         List<String> lengths = response.headers("Content-Length");
--- a/daemon/src/test/java/org/catkinproxy/architecture/PackageArrowsTest.java
+++ b/daemon/src/test/java/org/catkinproxy/architecture/PackageArrowsTest.java
@@ -37,7 +37,8 @@
         "org.catkinproxy.route",
         "org.catkinproxy.serving",
         "org.catkinproxy.stop",
-        "org.catkinproxy.stream"
+        "org.catkinproxy.stream",
+        "org.catkinproxy.syntax"
     };
 
     /** What does I/O, starts threads or logs. */
--- a/gateway/src/main/java/org/catkinproxy/gateway/PooledHttpClient.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/PooledHttpClient.java
@@ -8,30 +8,19 @@
 import org.catkinproxy.serving.StorePolling;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.core.SingleEmitter;
 
@@ -58,9 +47,6 @@
  * loop only.
  */
 public final class PooledHttpClient {
-    /** Limit for a response; a page of rows has at most 1 MiB, apart from its encoding. */
-    private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
-
     private static final int CONNECT_TIMEOUT_MILLIS = (int) StorePolling.CONNECT_TIMEOUT.toMillis();
 
     /** Maximum number of idle connections to one address. */
@@ -69,9 +55,6 @@
     /** Limit for the bodies of all responses that are being received. */
     private static final long MAX_BUFFERED_BYTES = 12 * 1024 * 1024;
 
-    /** Limit for the interim responses before a response. */
-    private static final int MAX_INTERIM_RESPONSES = 16;
-
     private final EventLoop mLoop;
     private final int mMaxIdlePerAddress;
     private final Map<String, Deque<Channel>> mIdle = new HashMap<>();
@@ -145,7 +128,7 @@
                 });
     }
 
-    private final class Call {
+    private final class Call implements CallResponseHandler.Listener {
         private final Step mStep;
         private final String mAddress;
         private final Duration mTimeout;
@@ -210,12 +193,18 @@
         private void send(Channel channel, DefaultFullHttpRequest request) {
             mChannel = channel;
             mSent = true;
-            ResponseHandler handler = channel.pipeline().get(ResponseHandler.class);
+            CallResponseHandler handler = channel.pipeline().get(CallResponseHandler.class);
             handler.start(this, request.method(), request.content().isReadable());
             channel.writeAndFlush(request).addListener(handler::onWritten);
         }
 
-        void onResponse(Response response, boolean reuse) {
+        @Override
+        public boolean isDone() {
+            return mDone;
+        }
+
+        @Override
+        public void onResponse(Response response, boolean reuse) {
             if (mDone) {
                 return;
             }
@@ -236,7 +225,8 @@
         }
 
         /** Records the size of the buffered body, which ends the largest call if it is too much. */
-        void recordBufferedBytes(int bytes) {
+        @Override
+        public void onBuffered(int bytes) {
             if (!mDone) {
                 mBufferBudget
                         .record(this, bytes)
@@ -274,7 +264,12 @@
             }
         }
 
-        void fail(String reason) {
+        @Override
+        public void onFailure(String reason) {
+            fail(reason);
+        }
+
+        private void fail(String reason) {
             if (mDone) {
                 return;
             }
@@ -294,135 +289,7 @@
                     .addLast(new ConnectionEndHandler())
                     .addLast(decoder)
                     .addLast(new HttpRequestEncoder())
-                    .addLast(new ResponseHandler(decoder));
-        }
-    }
-
-    /**
-     * Collects the response to the call that uses the connection.
-     *
-     * <p>A response counts only when it is complete: as long as its framing says, or, without one,
-     * up to the end of a connection to which the whole request was written.
-     */
-    private static final class ResponseHandler extends ChannelInboundHandlerAdapter {
-        private final StrictResponseDecoder mDecoder;
-        private Call mCall;
-        private boolean mRequestWritten;
-        private int mInterimResponses;
-        private HttpResponse mHead;
-        private BodyBuffer mBody;
-
-        ResponseHandler(StrictResponseDecoder decoder) {
-            mDecoder = decoder;
-        }
-
-        /** Starts to accept the response to a call's request. */
-        void start(Call call, HttpMethod method, boolean hasBody) {
-            mCall = call;
-            mRequestWritten = false;
-            mInterimResponses = 0;
-            mDecoder.onRequestSent(method, hasBody);
-        }
-
-        void onWritten(Future<?> write) {
-            if (write.isSuccess()) {
-                mRequestWritten = true;
-            } else {
-                fail("request could not be written: " + write.cause());
-            }
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            try {
-                if (mCall != null && !mCall.mDone) {
-                    read((HttpObject) message);
-                }
-            } finally {
-                ReferenceCountUtil.release(message);
-            }
-        }
-
-        private void read(HttpObject message) {
-            if (message.decoderResult().isFailure()) {
-                fail("response is malformed: " + message.decoderResult().cause());
-                return;
-            }
-            if (message instanceof HttpResponse head) {
-                readHead(head);
-            }
-            if (message instanceof HttpContent content && mHead != null) {
-                readContent(content);
-            }
-        }
-
-        private void readHead(HttpResponse head) {
-            if (head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-                mHead = head;
-                mBody = BodyBuffer.onHeap(MAX_RESPONSE_BYTES);
-                return;
-            }
-            mInterimResponses++;
-            if (mInterimResponses > MAX_INTERIM_RESPONSES) {
-                fail("too many interim responses");
-            }
-        }
-
-        private void readContent(HttpContent content) {
-            if (!mBody.append(content.content())) {
-                fail("response is too large or has too many pieces");
-                return;
-            }
-            mCall.recordBufferedBytes(mBody.capacity());
-            if (mCall != null && content instanceof LastHttpContent) {
-                end();
-            }
-        }
-
-        private void end() {
-            boolean endsWithConnection = mDecoder.endsWithConnection();
-            if (endsWithConnection && !mRequestWritten) {
-                fail("connection closed before the request was written");
-                return;
-            }
-            boolean hasMore = mDecoder.onResponseEnd();
-            boolean reuse = HttpUtil.isKeepAlive(mHead) && !endsWithConnection && !hasMore;
-            ByteBuf body = mBody.bytes();
-            Response response =
-                    new Response(
-                            mHead.status().code(), mHead.headers(), ByteBufUtil.getBytes(body));
-            Call call = mCall;
-            drop();
-            call.onResponse(response, reuse);
-        }
-
-        /** Ends the use of the connection by a call. */
-        private void drop() {
-            mCall = null;
-            mHead = null;
-            if (mBody != null) {
-                mBody.release();
-                mBody = null;
-            }
-        }
-
-        private void fail(String reason) {
-            Call call = mCall;
-            drop();
-            if (call != null) {
-                call.fail(reason);
-            }
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            fail("connection closed before the response was complete");
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            fail(String.valueOf(cause.getMessage()));
-            context.close();
+                    .addLast(new CallResponseHandler(decoder));
         }
     }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/ResponseSyntax.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/ResponseSyntax.java
@@ -1,5 +1,7 @@
 package org.catkinproxy.gateway;
 
+import org.catkinproxy.syntax.HttpSyntax;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -22,16 +24,12 @@
 final class ResponseSyntax {
     private static final String VERSION_PREFIX = "HTTP/1.";
     private static final int STATUS_DIGITS = 3;
-    private static final int MIN_STATUS = 100;
-    private static final int MAX_STATUS = 599;
     private static final int STATUS_SWITCHING_PROTOCOLS = 101;
 
     /** Keeps the size of a chunk within a long. */
     private static final int MAX_CHUNK_SIZE_DIGITS = 15;
 
     private static final int HEX_RADIX = 16;
-    private static final String TOKEN_MARKS = "!#$%&'*+-.^_`|~";
-    private static final byte HIGHEST_ASCII_BYTE = 0x7f;
 
     private ResponseSyntax() {}
 
@@ -46,7 +44,7 @@
         int statusEnd = statusStart + STATUS_DIGITS;
         if (text.length() < statusEnd
                 || !text.startsWith(VERSION_PREFIX)
-                || !isDigit(text.charAt(VERSION_PREFIX.length()))
+                || !HttpSyntax.isDigit(text.charAt(VERSION_PREFIX.length()))
                 || text.charAt(statusStart - 1) != ' '
                 || (text.length() > statusEnd && text.charAt(statusEnd) != ' ')) {
             throw new MalformedResponseException("invalid status line");
@@ -62,11 +60,11 @@
     }
 
     private static int parseStatus(String digits) throws MalformedResponseException {
-        if (!digits.chars().allMatch(ResponseSyntax::isDigit)) {
+        if (!digits.chars().allMatch(HttpSyntax::isDigit)) {
             throw new MalformedResponseException("status is no number");
         }
         int status = Integer.parseInt(digits);
-        if (status < MIN_STATUS || status > MAX_STATUS) {
+        if (!HttpSyntax.isStatus(status)) {
             throw new MalformedResponseException("status out of range: " + digits);
         }
         if (status == STATUS_SWITCHING_PROTOCOLS) {
@@ -83,7 +81,7 @@
             throw new MalformedResponseException("field without a name");
         }
         for (int i = start; i < colon; i++) {
-            if (!isTokenCharacter(line.getByte(i))) {
+            if (!HttpSyntax.isTokenCharacter(line.getByte(i))) {
                 throw new MalformedResponseException(
                         "invalid byte in the name of a field: " + (line.getByte(i) & 0xff));
             }
@@ -124,28 +122,13 @@
     /** Checks that bytes are printable, blanks or beyond ASCII. */
     private static void checkText(ByteBuf line, int start, int length, String name)
             throws MalformedResponseException {
-        int control = line.forEachByte(start, length, b -> !isControl(b));
+        int control = line.forEachByte(start, length, b -> !HttpSyntax.isControl(b));
         if (control >= 0) {
             throw new MalformedResponseException("control byte in the " + name);
         }
     }
 
-    private static boolean isControl(byte b) {
-        return (b >= 0 && b < ' ' && b != '\t') || b == HIGHEST_ASCII_BYTE;
-    }
-
     private static boolean isBlank(byte b) {
         return b == ' ' || b == '\t';
     }
-
-    private static boolean isTokenCharacter(byte b) {
-        return (b >= 'a' && b <= 'z')
-                || (b >= 'A' && b <= 'Z')
-                || isDigit(b)
-                || (b > 0 && TOKEN_MARKS.indexOf(b) >= 0);
-    }
-
-    private static boolean isDigit(int character) {
-        return character >= '0' && character <= '9';
-    }
 }
