--- a/core/src/main/java/org/catkinproxy/serving/ProberElection.java
+++ b/core/src/main/java/org/catkinproxy/serving/ProberElection.java
@@ -6,7 +6,6 @@
 
 import java.time.Duration;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -50,7 +49,7 @@
      * @param peers the other instances that are alive
      */
     public static boolean isProber(InstanceId self, Collection<Peer> peers, long now) {
-        List<Peer> before = peers.stream().filter(p -> isBefore(p.id(), self)).toList();
+        List<Peer> before = peers.stream().filter(p -> p.id().compareTo(self) < 0).toList();
         boolean isCandidate = before.size() <= CANDIDATES;
         long silenceNanos = takeoverDelay(before.size()).toNanos();
         return before.stream()
@@ -58,10 +57,6 @@
                 .allMatch(p -> isCandidate && now - p.lastSeenAt() >= silenceNanos);
     }
 
-    private static boolean isBefore(InstanceId id, InstanceId other) {
-        return id.value().compareTo(other.value()) < 0;
-    }
-
     private static Duration takeoverDelay(int candidatesBefore) {
         return TAKEOVER_DELAY.plus(TAKEOVER_DELAY_PER_CANDIDATE.multipliedBy(candidatesBefore));
     }
@@ -73,9 +68,6 @@
 
     /** Returns the instances that the prober has to inform often that it runs. */
     public static List<InstanceId> candidates(Collection<InstanceId> peers) {
-        return peers.stream()
-                .sorted(Comparator.comparing(InstanceId::value))
-                .limit(CANDIDATES)
-                .toList();
+        return peers.stream().sorted().limit(CANDIDATES).toList();
     }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerListener.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerListener.java
@@ -1,12 +1,10 @@
 package org.catkinproxy.gateway;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 
@@ -17,12 +15,6 @@
     /** Connections that may wait until the event loop accepts them. */
     private static final int BACKLOG_CONNECTIONS = 1024;
 
-    /**
-     * Reads each connection once in a turn of the loop, so that one with much data delays no other.
-     */
-    private static final RecvByteBufAllocator ONE_READ_PER_TURN =
-            new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(1);
-
     private CallerListener() {}
 
     /** Listens for callers at {@code address}. */
@@ -37,7 +29,7 @@
                                 .maxMessagesPerRead(ListenerQueue.MAX_ACCEPTS_PER_TURN))
                 .handler(gateway.listenerQueue())
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ONE_READ_PER_TURN)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ReadPolicy.ONE_READ_PER_TURN)
                 .childHandler(
                         new ChannelInitializer<Channel>() {
                             @Override
--- a/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnectionPool.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/UpstreamConnectionPool.java
@@ -3,13 +3,11 @@
 import org.catkinproxy.serving.Upstream;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 
@@ -27,12 +25,6 @@
  * <p>Used by the event loop only.
  */
 final class UpstreamConnectionPool {
-    /**
-     * Reads each connection once in a turn of the loop, so that one with much data delays no other.
-     */
-    private static final RecvByteBufAllocator ONE_READ_PER_TURN =
-            new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(1);
-
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
     /** Time by which an idle connection expires before the upstream closes it. */
@@ -110,7 +102,7 @@
                 .group(mLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.RCVBUF_ALLOCATOR, ONE_READ_PER_TURN)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, ReadPolicy.ONE_READ_PER_TURN)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(new Initializer(decoder, connection))
                 .connect(upstream.host(), upstream.port())
