Let only the first instances observe the lease

Each instance read the lease's row at its start and after each rollout. Now the three instances read it that would try to acquire the lease first, 1.5 s after the start, when they know their peers.

--- a/core/src/main/java/org/catkinproxy/serving/LeaseAcquisitionOrder.java
+++ b/core/src/main/java/org/catkinproxy/serving/LeaseAcquisitionOrder.java
@@ -43,6 +43,14 @@
                 && neededNanos >= position * DELAY_PER_POSITION_NANOS;
     }
 
+    /**
+     * Returns whether the instance should read the lease before it is needed: those that would try
+     * to acquire it first do, as each read is a call to the store.
+     */
+    public static boolean shouldObserve(int position) {
+        return position < MAX_POSITION;
+    }
+
     private static long rank(InstanceId instance) {
         return Prompt.scopedHash("lease", instance.value().hashCode());
     }
--- a/core/src/test/java/org/catkinproxy/serving/LeaseAcquisitionOrderTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/LeaseAcquisitionOrderTest.java
@@ -56,4 +56,12 @@
                 .isFalse();
         assertThat(LeaseAcquisitionOrder.shouldTryAcquire(3, LONG_NANOS, LONG_NANOS)).isTrue();
     }
+
+    /** Guards against a call to the store by each instance of a large fleet after each rollout. */
+    @Example
+    void onlyTheFirstInstancesObserveTheLease() {
+        assertThat(LeaseAcquisitionOrder.shouldObserve(0)).isTrue();
+        assertThat(LeaseAcquisitionOrder.shouldObserve(2)).isTrue();
+        assertThat(LeaseAcquisitionOrder.shouldObserve(3)).isFalse();
+    }
 }
--- a/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/RolloutTask.java
@@ -40,7 +40,10 @@
     private static final String LEASE_KEY = "weights";
     private static final long TICK_MILLIS = 50;
 
-    /** Time after a rollout in which the holder of the lease has written its row last. */
+    /**
+     * Time after a rollout in which the holder of the lease has written its row last, and after a
+     * start in which the instance knows its peers.
+     */
     private static final long OBSERVE_DELAY_NANOS = 1_500_000_000L;
 
     private final Gateway mGateway;
@@ -62,7 +65,7 @@
     /** Whether the lease's row has to be observed once no rollout is needed, and from when on. */
     private boolean mObserveDue = true;
 
-    private long mObserveAt = System.nanoTime();
+    private long mObserveAt = System.nanoTime() + OBSERVE_DELAY_NANOS;
 
     RolloutTask(
             Gateway gateway,
@@ -129,17 +132,22 @@
     }
 
     private void observeLease(long now) {
-        if (mObserveDue && now - mObserveAt >= 0 && mGateway.isReady()) {
+        if (mObserveDue
+                && now - mObserveAt >= 0
+                && mGateway.isReady()
+                && LeaseAcquisitionOrder.shouldObserve(position())) {
             mObserveDue = false;
             handleLeaseEvent(new LeaseEvent.Observe());
         }
     }
 
     private boolean mayTryAcquire(long now) {
-        int position =
-                LeaseAcquisitionOrder.position(mSelf, mGateway.instanceRegistry().readyPeers());
         return LeaseAcquisitionOrder.shouldTryAcquire(
-                position, now - mNeededSince, mBroadcast.nanosSinceHolderMessage());
+                position(), now - mNeededSince, mBroadcast.nanosSinceHolderMessage());
+    }
+
+    private int position() {
+        return LeaseAcquisitionOrder.position(mSelf, mGateway.instanceRegistry().readyPeers());
     }
 
     private void recordHolding(Optional<FencingNumber> held) {
