Only an instance that is eligible itself is the prober

At a common start each instance was the prober for 0.75 s: none knew another one, and none asked whether it was ready itself, though ProberElection says that the prober is. Each polled both tables anew and with short waits.

Now an instance that does not accept callers or reach the store is no prober, and one that has just become eligible waits as long as any candidate to hear from the others.

Evidence: the new examples of ProberElectionTest ask for what the old signature could not say.

--- a/core/src/main/java/org/catkinproxy/serving/StorePolling.java
+++ b/core/src/main/java/org/catkinproxy/serving/StorePolling.java
@@ -89,13 +89,14 @@
     }
 
     /**
-     * Returns the time in which all instances have a change if the prober fails and all open
-     * connections to the store are silent: another instance takes over with new polls.
+     * Returns the time in which all instances have a change if the prober and the candidate after
+     * it fail and all open connections to the store are silent: the next one takes over with new
+     * polls.
      *
      * @param instances the number of instances
      */
     public static Duration failedProberDelay(int instances) {
-        return ProberElection.maxTakeoverDelay()
+        return ProberElection.secondTakeoverDelay()
                 .plus(SWEEP_INTERVAL)
                 .plus(CALL_TIME)
                 .plus(reportDelay(instances))
--- a/core/src/test/java/org/catkinproxy/serving/ProberElectionTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/ProberElectionTest.java
@@ -12,10 +12,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 /** Tests that a fleet has one prober, and another one soon after it has failed. */
 class ProberElectionTest {
     private static final long NOW = 100_000_000_000L;
+    private static final OptionalLong LONG_ELIGIBLE = OptionalLong.of(0);
 
     @Property
     void fleetHasOneProber(@ForAll @IntRange(min = 1, max = 60) int instances) {
@@ -34,10 +36,25 @@
         assertThat(probers(30, 8, Duration.ofMillis(3_400))).isEmpty();
     }
 
+    /** Guards against polls with short waits at all instances while none is ready. */
+    @Example
+    void instanceThatIsNotEligibleIsNoProber() {
+        assertThat(ProberElection.isProber(id(0), OptionalLong.empty(), List.of(), NOW)).isFalse();
+    }
+
+    /** Guards against the same at a common start, when no instance knows another one yet. */
+    @Example
+    void instanceWaitsForOthersOnceItIsEligible() {
+        OptionalLong since = OptionalLong.of(NOW - Duration.ofMillis(700).toNanos());
+        assertThat(ProberElection.isProber(id(0), since, List.of(), NOW)).isFalse();
+        long later = NOW + Duration.ofMillis(100).toNanos();
+        assertThat(ProberElection.isProber(id(0), since, List.of(), later)).isTrue();
+    }
+
     @Example
     void instanceThatDoesNotReachTheStoreIsNoProber() {
         List<ProberElection.Peer> peers = List.of(new ProberElection.Peer(id(0), false, NOW));
-        assertThat(ProberElection.isProber(id(1), peers, NOW)).isTrue();
+        assertThat(ProberElection.isProber(id(1), LONG_ELIGIBLE, peers, NOW)).isTrue();
     }
 
     @Example
@@ -62,7 +79,7 @@
                     peers.add(new ProberElection.Peer(id(j), true, lastSeenAt));
                 }
             }
-            if (ProberElection.isProber(id(i), peers, NOW)) {
+            if (ProberElection.isProber(id(i), LONG_ELIGIBLE, peers, NOW)) {
                 probers.add(i);
             }
         }
--- a/gateway/src/main/java/org/catkinproxy/gateway/StoreProber.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/StoreProber.java
@@ -7,6 +7,7 @@
 import org.catkinproxy.serving.StorePosition;
 
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * The duty of one instance of the fleet to notice when connections to the store fall silent.
@@ -18,6 +19,10 @@
 final class StoreProber {
     private final Gateway mGateway;
     private final InstanceId mSelf;
+
+    /** Since when this instance accepts callers and reaches the store, empty while it does not. */
+    private OptionalLong mEligibleSince = OptionalLong.empty();
+
     private boolean mIsProber;
     private Map<String, StorePosition> mReported = Map.of();
 
@@ -33,9 +38,11 @@
 
     /** Determines whether this instance is the prober; must be called regularly. */
     void update() {
+        long now = mGateway.now();
+        updateEligibility(now);
         boolean isProber =
                 ProberElection.isProber(
-                        mSelf, mGateway.instanceRegistry().proberPeers(), mGateway.now());
+                        mSelf, mEligibleSince, mGateway.instanceRegistry().proberPeers(), now);
         if (isProber != mIsProber) {
             mIsProber = isProber;
             mGateway.log().record(GatewayEvent.PROBER_CHANGED, "prober", isProber);
@@ -48,6 +55,14 @@
         }
     }
 
+    private void updateEligibility(long now) {
+        if (!mGateway.isReady() || !mGateway.isStoreReachable()) {
+            mEligibleSince = OptionalLong.empty();
+        } else if (mEligibleSince.isEmpty()) {
+            mEligibleSince = OptionalLong.of(now);
+        }
+    }
+
     /** Returns whether the usual heartbeats would report a change later than the prober has to. */
     private boolean areHeartbeatsRare() {
         return FleetIntervals.heartbeatInterval(mGateway.instanceCount())
