--- a/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallerConnection.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -37,7 +36,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
-import java.util.concurrent.TimeUnit;
 
 /**
  * A caller's connection, which handles one request at a time.
@@ -52,12 +50,6 @@
     /** Time without input after which a partly received request does not hold up a stop. */
     private static final long STALLED_REQUEST_NANOS = 2_000_000_000L;
 
-    /** Time for which input is discarded after the last response of a connection. */
-    private static final long DISCARD_MILLIS = 1_000;
-
-    /** Limit for what is discarded after the last response. */
-    private static final long MAX_DISCARDED_BYTES = 1024 * 1024;
-
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final Gateway mGateway;
@@ -66,10 +58,8 @@
     private final Deque<HttpObject> mPipelined = new ArrayDeque<>();
     private Channel mChannel;
 
-    /** Whether what the caller still sends is discarded, after the last response. */
-    private boolean mDiscarding;
-
-    private long mDiscardedBytes;
+    /** The end of the connection; set once it is active. */
+    private GracefulClose mClose;
 
     /** Output that the caller had not taken at the last check for the idle timeout. */
     private long mUnwrittenBytes;
@@ -98,6 +88,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         mChannel = context.channel();
+        mClose = new GracefulClose(mChannel);
         mAcceptedAt = mGateway.now();
         mAcceptWaitNanos = mGateway.listenerQueue().waitNanos();
         mLastActiveAt = mAcceptedAt;
@@ -148,8 +139,8 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (mDiscarding) {
-            discard(message);
+        if (mClose.isDiscarding()) {
+            mClose.discard(message);
         } else if (mExchange == null && mPipelined.isEmpty()) {
             handle((HttpObject) message);
         } else {
@@ -250,45 +241,21 @@
 
     /** Discards what follows; the connection ends with the response. */
     private void discardInput() {
-        mDiscarding = true;
+        mClose.startDiscarding(mDecoder);
         mPipelined.forEach(ReferenceCountUtil::release);
         mPipelined.clear();
-        if (mChannel.pipeline().context(mDecoder) != null) {
-            mChannel.pipeline().remove(mDecoder);
-        }
-    }
-
-    private void discard(Object message) {
-        if (message instanceof ByteBuf bytes) {
-            mDiscardedBytes += bytes.readableBytes();
-        }
-        ReferenceCountUtil.release(message);
-        if (mDiscardedBytes > MAX_DISCARDED_BYTES) {
-            // What is not read any more resets the connection, once the response is written.
-            mChannel.config().setAutoRead(false);
-        }
-    }
-
-    /**
-     * Ends the output of the connection, and the connection once the caller has ended it too or
-     * after a while. A connection that is closed with unread input is reset, and the caller would
-     * lose the end of the response.
-     */
-    private void closeGracefully() {
-        ((DuplexChannel) mChannel).shutdownOutput();
-        mGateway.loop().schedule(() -> mChannel.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Closes the connection after its last response; a caller that asked for it sends no more. */
     private void closeAfter(ChannelFuture lastWrite) {
-        if (mClosedByCaller && !mDiscarding) {
+        if (mClosedByCaller && !mClose.isDiscarding()) {
             lastWrite.addListener(ChannelFutureListener.CLOSE);
             return;
         }
-        if (!mDiscarding) {
+        if (!mClose.isDiscarding()) {
             discardInput();
         }
-        lastWrite.addListener(f -> closeGracefully());
+        mClose.closeAfter(lastWrite);
     }
 
     private void dropRequest() {
@@ -443,6 +410,6 @@
 
     /** Returns whether at least a part of another request has arrived. */
     private boolean isReceiving() {
-        return !mDiscarding && (mDecoder.isWithinRequest() || !mPipelined.isEmpty());
+        return !mClose.isDiscarding() && (mDecoder.isWithinRequest() || !mPipelined.isEmpty());
     }
 }
