--- a/core/src/main/java/org/catkinproxy/serving/ProberElection.java
+++ b/core/src/main/java/org/catkinproxy/serving/ProberElection.java
@@ -17,9 +17,9 @@
  * miss, so that the cost does not depend on the size of the fleet. The prober is the instance with
  * the lowest id that is eligible: that accepts callers and reaches the store. The instances that
  * follow it are candidates: each takes over once it has not heard for a while from any eligible
- * instance before it. The while begins once it is eligible itself, as an instance that has just
- * started knows no other. Two probers at a time do no harm. Times are in nanoseconds of the owner's
- * monotonic clock. Stateless and thread-safe.
+ * instance before it. That time counts from when it became eligible itself at the earliest, as an
+ * instance that has just started knows no other. Two probers at a time do no harm. Times are in
+ * nanoseconds of the owner's monotonic clock. Stateless and thread-safe.
  */
 public final class ProberElection {
     /** The number of instances that the prober keeps informed that it runs. */
--- a/core/src/main/java/org/catkinproxy/serving/StorePolling.java
+++ b/core/src/main/java/org/catkinproxy/serving/StorePolling.java
@@ -24,8 +24,8 @@
      */
     public static final Duration MIN_RESPONSE_GRACE = Duration.ofMillis(500);
 
-    /** Limit for the time in which the response of a slow store is awaited on a connection. */
-    public static final Duration MAX_RESPONSE_GRACE = Duration.ofMillis(1_500);
+    /** How long a call may take, beside the wait of a poll, before it counts as failed. */
+    public static final Duration REQUEST_TIMEOUT = Duration.ofMillis(1_500);
 
     /** Time within which the open poll should return a change that a peer has reported. */
     public static final Duration HINT_GRACE = Duration.ofMillis(300);
@@ -46,7 +46,7 @@
     static final Duration MAX_RETENTION_AFTER_ATTEMPT = Duration.ofMillis(2_700);
 
     /** How long an attempt without an answer takes at most, unless this process is held up. */
-    static final Duration MAX_ATTEMPT_TIME = MAX_RESPONSE_GRACE.plus(MAX_RETRY_INTERVAL);
+    static final Duration MAX_ATTEMPT_TIME = REQUEST_TIMEOUT.plus(MAX_RETRY_INTERVAL);
 
     /**
      * Interval at which an instance checks which entries it still retains and whether it is the
@@ -111,7 +111,8 @@
     }
 
     /**
-     * Returns how long the response of the next poll is awaited after the end of its wait.
+     * Returns how long the response of the next poll is awaited after the end of its wait: longer
+     * than usual if the store is slow, and at most for the time that a call may take.
      *
      * @param lateness how long the last response came after the end of its poll's wait
      */
@@ -120,6 +121,6 @@
         if (grace.compareTo(MIN_RESPONSE_GRACE) < 0) {
             return MIN_RESPONSE_GRACE;
         }
-        return grace.compareTo(MAX_RESPONSE_GRACE) > 0 ? MAX_RESPONSE_GRACE : grace;
+        return grace.compareTo(REQUEST_TIMEOUT) > 0 ? REQUEST_TIMEOUT : grace;
     }
 }
--- a/core/src/test/java/org/catkinproxy/serving/StorePollingTest.java
+++ b/core/src/test/java/org/catkinproxy/serving/StorePollingTest.java
@@ -50,6 +50,6 @@
         assertThat(StorePolling.responseGrace(Duration.ofMillis(400)))
                 .isEqualTo(Duration.ofMillis(800));
         assertThat(StorePolling.responseGrace(Duration.ofSeconds(9)))
-                .isEqualTo(StorePolling.MAX_RESPONSE_GRACE);
+                .isEqualTo(StorePolling.REQUEST_TIMEOUT);
     }
 }
--- a/daemon/src/main/java/org/catkinproxy/http/StrictResponseInterceptor.java
+++ b/daemon/src/main/java/org/catkinproxy/http/StrictResponseInterceptor.java
@@ -21,6 +21,9 @@
  * network interceptor. Stateless and thread-safe.
  */
 public final class StrictResponseInterceptor implements Interceptor {
+    private static final int STATUS_NO_CONTENT = 204;
+    private static final int STATUS_NOT_MODIFIED = 304;
+
     private StrictResponseInterceptor() {}
 
     /** Returns an interceptor. */
@@ -80,7 +83,7 @@
     }
 
     private static boolean mayHaveBody(Response response) {
-        return response.code() != 204 && response.code() != 304;
+        return response.code() != STATUS_NO_CONTENT && response.code() != STATUS_NOT_MODIFIED;
     }
 
     private static boolean hasBody(Request request) throws IOException {
--- a/gateway/src/main/java/org/catkinproxy/gateway/CallResponseHandler.java
+++ b/gateway/src/main/java/org/catkinproxy/gateway/CallResponseHandler.java
@@ -43,7 +43,7 @@
     }
 
     private final StrictResponseDecoder mDecoder;
-    private Listener mCall;
+    private Listener mListener;
     private boolean mRequestWritten;
     private int mInterimResponses;
     private HttpResponse mHead;
@@ -54,8 +54,8 @@
     }
 
     /** Starts to accept the response to a call's request. */
-    void start(Listener call, HttpMethod method, boolean hasBody) {
-        mCall = call;
+    void start(Listener listener, HttpMethod method, boolean hasBody) {
+        mListener = listener;
         mRequestWritten = false;
         mInterimResponses = 0;
         mDecoder.onRequestSent(method, hasBody);
@@ -72,7 +72,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (mCall != null && !mCall.isDone()) {
+            if (mListener != null && !mListener.isDone()) {
                 read((HttpObject) message);
             }
         } finally {
@@ -110,8 +110,8 @@
             fail("response is too large or has too many pieces");
             return;
         }
-        mCall.onBuffered(mBody.capacity());
-        if (mCall != null && content instanceof LastHttpContent) {
+        mListener.onBuffered(mBody.capacity());
+        if (mListener != null && content instanceof LastHttpContent) {
             end();
         }
     }
@@ -128,14 +128,14 @@
         PooledHttpClient.Response response =
                 new PooledHttpClient.Response(
                         mHead.status().code(), mHead.headers(), ByteBufUtil.getBytes(body));
-        Listener call = mCall;
+        Listener listener = mListener;
         drop();
-        call.onResponse(response, reuse);
+        listener.onResponse(response, reuse);
     }
 
     /** Ends the use of the connection by a call. */
     private void drop() {
-        mCall = null;
+        mListener = null;
         mHead = null;
         if (mBody != null) {
             mBody.release();
@@ -144,10 +144,10 @@
     }
 
     private void fail(String reason) {
-        Listener call = mCall;
+        Listener listener = mListener;
         drop();
-        if (call != null) {
-            call.onFailure(reason);
+        if (listener != null) {
+            listener.onFailure(reason);
         }
     }
 
