--- a/review/standins-3/ClientConnection.java
+++ b/review/standins-3/ClientConnection.java
@@ -33,6 +33,18 @@
         return Message.read(mIn);
     }
 
+    /** Reads a line without its end, null if the connection ended before that. */
+    String readLine() throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int b = mIn.read(); b >= 0; b = mIn.read()) {
+            if (b == '\n') {
+                return line.toString().trim();
+            }
+            line.append((char) b);
+        }
+        return null;
+    }
+
     static String head(String method, String host, String path, String id, long deadlineMillis) {
         return method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n"
                 + Names.of("request-id") + ": " + id + "\r\n"
--- a/review/standins-3/StoreStandin.java
+++ b/review/standins-3/StoreStandin.java
@@ -58,6 +58,13 @@
         notifyAll();
     }
 
+    /** Deletes a row as the platform does with the entry of a worker that is silent. */
+    synchronized void delete(String table, String key) {
+        mVersion++;
+        mRows.put(id(table, "", key), new Row(table, "", key, null, mVersion));
+        notifyAll();
+    }
+
     private static String id(String table, String part, String key) {
         return table + '\0' + part + '\0' + key;
     }
--- a/review/standins-3/WorkerStandin.java
+++ b/review/standins-3/WorkerStandin.java
@@ -5,6 +5,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** A worker: registers in the store and hands each request to a handler. */
 class WorkerStandin {
@@ -25,6 +27,8 @@
     private final Handler mHandler;
     private final ServerSocket mListener;
     private final long mBorn = System.currentTimeMillis();
+    private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private volatile boolean mCrashed;
     private long mSeq;
 
     WorkerStandin(
@@ -52,7 +56,7 @@
 
     private void beat() {
         try {
-            while (true) {
+            while (!mCrashed) {
                 writeEntry();
                 Thread.sleep(HEARTBEAT_MILLIS);
             }
@@ -62,6 +66,9 @@
     }
 
     private synchronized void writeEntry() {
+        if (mCrashed) {
+            return;
+        }
         mSeq++;
         mStore.put(
                 "servers",
@@ -77,10 +84,50 @@
         try {
             while (true) {
                 Socket socket = mListener.accept();
+                mSockets.add(socket);
                 daemon(() -> serve(socket));
             }
         } catch (IOException e) {
-            throw new IllegalStateException(e);
+            // The worker has crashed.
+        }
+    }
+
+    /** Returns whether the worker has crashed. */
+    boolean isCrashed() {
+        return mCrashed;
+    }
+
+    /**
+     * Ends the worker without notice: its connections are reset, and its entry goes after three
+     * heartbeats. Returns false if it has crashed before.
+     */
+    synchronized boolean crash() throws IOException {
+        if (mCrashed) {
+            return false;
+        }
+        mCrashed = true;
+        mListener.close();
+        for (Socket socket : mSockets) {
+            reset(socket);
+        }
+        daemon(
+                () -> {
+                    try {
+                        Thread.sleep(3 * HEARTBEAT_MILLIS);
+                        mStore.delete("servers", mId);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+        return true;
+    }
+
+    private static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException e) {
+            // It was closed before.
         }
     }
 
@@ -98,9 +145,11 @@
                 }
             }
         } catch (IOException e) {
-            // The caller has closed the connection.
+            // The caller has closed the connection, or the worker has crashed.
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } finally {
+            mSockets.remove(socket);
         }
     }
 
