--- a/review/standins-3/LargeBodies.java
+++ b/review/standins-3/LargeBodies.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 /**
- * Case 11: some clients send bodies within the limit of the desired state, at one machine, while
+ * Some clients send bodies within the limit of the desired state, at one machine, while
  * others send small requests there. Exits with 1 if the small ones stay without an answer.
  */
 final class LargeBodies {
