--- a/review/standins-3/Engines.java
+++ b/review/standins-3/Engines.java
@@ -21,6 +21,18 @@
                 + "\"tenants\":[{\"name\":\"t1\",\"api-keys\":[\"key-1\"],\"priority\":1,"
                 + "\"isolated\":false}]}";
 
+    /** The same with streams that may not be resumed, at one worker each. */
+    static final String UNREPEATABLE_CONFIG =
+            CONFIG.replace("\"resumable\":true", "\"resumable\":false")
+                    .replace("\"attempts\":2", "\"attempts\":1")
+                    .replace("\"timeout-ms\":6000", "\"timeout-ms\":15000")
+                    .replace("\"goal-ms\":600", "\"goal-ms\":300")
+                    .replace("\"priority\":1,\"service\"", "\"priority\":0,\"service\"")
+                    .replace(
+                            "\"max-inflight\":12,",
+                            "\"moves\":true,\"backups\":true,\"handle_s\":5.0,"
+                                    + "\"max-inflight\":12,");
+
     /** The fields that a model worker's entry in the store has beside those of every worker. */
     static final String ENTRY =
             ",\"phase\":\"both\","
--- a/review/standins-3/WorkerStandin.java
+++ b/review/standins-3/WorkerStandin.java
@@ -28,6 +28,7 @@
     private final ServerSocket mListener;
     private final long mBorn = System.currentTimeMillis();
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private final ThreadLocal<Socket> mServed = new ThreadLocal<>();
     private volatile boolean mCrashed;
     private long mSeq;
 
@@ -48,6 +49,10 @@
         return mId;
     }
 
+    String address() {
+        return "127.0.0.1:" + mListener.getLocalPort();
+    }
+
     static void daemon(Runnable task) {
         Thread thread = new Thread(task);
         thread.setDaemon(true);
@@ -122,6 +127,11 @@
         return true;
     }
 
+    /** Resets the connection that the calling thread serves. */
+    void resetConnection() {
+        reset(mServed.get());
+    }
+
     private static void reset(Socket socket) {
         try {
             socket.setSoLinger(true, 0);
@@ -133,6 +143,7 @@
 
     private void serve(Socket socket) {
         try (socket) {
+            mServed.set(socket);
             socket.setTcpNoDelay(true);
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
