--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -2,7 +2,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
-java -Xmx512m -cp 'target/review-3:target/catkinproxy-platform/lib/*' LargeEventIds \
+java -Xmx512m -cp 'target/review-3:target/catkinproxy-platform/lib/*' OddTenant \
     review/13/record.txt "$folder"
 status=$?
 rm -rf "$folder"
