--- a/review/standins-3/LargeEventIds.java
+++ b/review/standins-3/LargeEventIds.java
@@ -4,8 +4,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Clients resume their streams at another machine after theirs was killed. The ids of the events
--- a/review/standins-3/LatePoison.java
+++ b/review/standins-3/LatePoison.java
@@ -153,7 +153,7 @@
         }
         long from = mCrashes.get(CRASHES_KNOWN - 1) + CONTACT_MILLIS;
         long late = mDeadlyArrivals.stream().filter(at -> at > from).count();
-        mRecord.line("requests with the deadly part that reach workers after " + from + ": " + late);
+        mRecord.line("requests with the deadly part at workers after " + from + ": " + late);
         return late <= MAX_LATE_REQUESTS;
     }
 
--- a/review/standins-3/LongDecimal.java
+++ b/review/standins-3/LongDecimal.java
@@ -4,8 +4,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Workers in need name a decimal number with many digits: of requests a second, or of seconds
@@ -176,7 +176,9 @@
         long most = 0;
         for (long begin : counted) {
             long inWindow =
-                    counted.stream().filter(at -> at >= begin && at < begin + WINDOW_MILLIS).count();
+                    counted.stream()
+                            .filter(at -> at >= begin && at < begin + WINDOW_MILLIS)
+                            .count();
             most = Math.max(most, inWindow);
         }
         mRecord.line(worker + " gets " + most + " in some 4 s, allowed " + allowed);
