--- a/review/15/run.sh
+++ /dev/null
@@ -1,9 +0,0 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.." || exit 2
-folder=$(mktemp -d) || exit 2
-java -Xmx512m -cp 'target/review-3:target/catkinproxy-platform/lib/*' LongDecimal \
-    review/15/record.txt "$folder" LIMIT 4.333333333333333
-status=$?
-rm -rf "$folder"
-exit $status
--- a/review/standins-3/LostAnswer.java
+++ b/review/standins-3/LostAnswer.java
@@ -95,7 +95,7 @@
         String id = request.field(Names.of("request-id"));
         String last = request.field(Names.of("last-event-id"));
         String backup = request.field(Names.of("kv-backup"));
-        String from = request.field(Names.of("kv-from"));
+        String from = request.field(Names.of("copy-from"));
         if (from != null && !worker.address().equals(mBackups.get(id))) {
             WorkerStandin.answer(request, out, 503, Names.of("not-run") + ": 1\r\n", "");
             return;
--- a/review/standins-3/StoreStandin.java
+++ b/review/standins-3/StoreStandin.java
@@ -74,7 +74,7 @@
             byte[] request = exchange.getRequestBody().readAllBytes();
             Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
             String path = exchange.getRequestURI().getPath();
-            if (path.equals(Names.of("rows-tx"))) {
+            if (path.equals(Names.of("transaction"))) {
                 transact(exchange, mJson.readTree(request));
             } else if (path.equals(Names.of("rows-get"))) {
                 reply(exchange, 200, read(query));
