--- a/review/standins-3/LargeBodies.java
+++ b/review/standins-3/LargeBodies.java
@@ -11,9 +11,12 @@
 
 /**
  * Some clients send bodies within the limit of the desired state, at one machine, while
- * others send small requests there. Exits with 1 if the small ones stay without an answer.
+ * others send small requests there. Exits with 10 if the small ones stay without an answer.
  */
 final class LargeBodies {
+    /** The exit status if the rule was broken; 1 is that of a JVM that could not run. */
+    private static final int BROKEN = 10;
+
     private static final int SMALL_CLIENTS = 10;
     private static final long SMALL_PAUSE_MILLIS = 700;
     private static final int UPLOADS = 40;
@@ -93,7 +96,7 @@
         try (Record record = new Record(Path.of(args[0]))) {
             LargeBodies run = new LargeBodies(record, Path.of(args[1]));
             try {
-                status = run.play(trouble ? LARGE_BODY_BYTES : SMALL_BODY_BYTES) ? 0 : 1;
+                status = run.play(trouble ? LARGE_BODY_BYTES : SMALL_BODY_BYTES) ? 0 : BROKEN;
             } catch (IOException e) {
                 record.line("could not run: " + e);
             } finally {
--- a/review/standins-3/LargeEventIds.java
+++ b/review/standins-3/LargeEventIds.java
@@ -9,9 +9,12 @@
 
 /**
  * Clients resume their streams at another machine after theirs was killed. The ids of the events
- * are increasing numbers of 19 digits. Exits with 1 if a piece is missing or comes twice.
+ * are increasing numbers of 19 digits. Exits with 10 if a piece is missing or comes twice.
  */
 final class LargeEventIds {
+    /** The exit status if the rule was broken; 1 is that of a JVM that could not run. */
+    private static final int BROKEN = 10;
+
     private static final int STREAMS = 6;
     private static final int EVENTS = 13;
     private static final long EVENT_GAP_MILLIS = 100;
@@ -47,7 +50,7 @@
         try (Record record = new Record(Path.of(args[0]))) {
             LargeEventIds run = new LargeEventIds(record, Path.of(args[1]));
             try {
-                status = run.play(trouble) ? 0 : 1;
+                status = run.play(trouble) ? 0 : BROKEN;
             } catch (IOException e) {
                 record.line("could not run: " + e);
             } finally {
--- a/review/standins-3/LatePoison.java
+++ b/review/standins-3/LatePoison.java
@@ -8,9 +8,12 @@
 
 /**
  * A part of a prompt crashes each model worker some time after it has begun to write an answer on
- * it. Exits with 1 if too many requests with that part still reach workers after the fifth crash.
+ * it. Exits with 10 if too many requests with that part still reach workers after the fifth crash.
  */
 final class LatePoison {
+    /** The exit status if the rule was broken; 1 is that of a JVM that could not run. */
+    private static final int BROKEN = 10;
+
     private static final int WORKERS = 6;
     private static final String DEADLY_PART = "deadbeef";
 
@@ -63,7 +66,7 @@
             LatePoison run =
                     new LatePoison(record, Path.of(args[1]), trouble, Long.parseLong(args[2]));
             try {
-                status = run.play() ? 0 : 1;
+                status = run.play() ? 0 : BROKEN;
             } catch (IOException e) {
                 record.line("could not run: " + e);
             } finally {
--- a/review/standins-3/LongDecimal.java
+++ b/review/standins-3/LongDecimal.java
@@ -9,9 +9,12 @@
 
 /**
  * Workers in need name a decimal number with many digits: of requests a second, or of seconds
- * without requests. Exits with 1 if they get more than they allow.
+ * without requests. Exits with 10 if they get more than they allow.
  */
 final class LongDecimal {
+    /** The exit status if the rule was broken; 1 is that of a JVM that could not run. */
+    private static final int BROKEN = 10;
+
     /** What workers in need say. */
     private enum Notice {
         /** All answers carry the limit in requests a second. */
@@ -84,7 +87,7 @@
                     new LongDecimal(
                             record, Path.of(args[1]), Notice.valueOf(args[2]), args[3]);
             try {
-                status = run.play(trouble) ? 0 : 1;
+                status = run.play(trouble) ? 0 : BROKEN;
             } catch (IOException e) {
                 record.line("could not run: " + e);
             } finally {
@@ -117,7 +120,8 @@
             note(mNotices, worker);
         } else {
             String fields =
-                    Names.of("not-run") + ": 1\r\n" + Names.of("retry-after") + ": " + mNumber + "\r\n";
+                    Names.of("not-run") + ": 1\r\n"
+                            + Names.of("retry-after") + ": " + mNumber + "\r\n";
             WorkerStandin.answer(request, out, 503, fields, "");
             note(mNotices, worker);
             mRecord.line(worker.id() + " turns " + id + " away for " + mNumber + " s");
--- a/review/standins-3/LostAnswer.java
+++ b/review/standins-3/LostAnswer.java
@@ -9,9 +9,12 @@
 
 /**
  * A worker runs streams that may not be repeated, and loses the answers of some: it resets their
- * connections and works on. Exits with 1 if a request goes on at another worker meanwhile.
+ * connections and works on. Exits with 10 if a request goes on at another worker meanwhile.
  */
 final class LostAnswer {
+    /** The exit status if the rule was broken; 1 is that of a JVM that could not run. */
+    private static final int BROKEN = 10;
+
     private static final int WORKERS = 4;
 
     /** Half of the workers lose answers. */
@@ -76,7 +79,7 @@
         try (Record record = new Record(Path.of(args[0]))) {
             LostAnswer run = new LostAnswer(record, Path.of(args[1]));
             try {
-                status = run.play(trouble) ? 0 : 1;
+                status = run.play(trouble) ? 0 : BROKEN;
             } catch (IOException e) {
                 record.line("could not run: " + e);
             } finally {
--- a/review/standins-3/OddTenant.java
+++ b/review/standins-3/OddTenant.java
@@ -8,10 +8,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * A version takes a key away and adds a tenant whose name has a blank. Exits with 1 if requests
+ * A version takes a key away and adds a tenant whose name has a blank. Exits with 10 if requests
  * are handled as only the version before allows, later than the pages' bound.
  */
 final class OddTenant {
+    /** The exit status if the rule was broken; 1 is that of a JVM that could not run. */
+    private static final int BROKEN = 10;
+
     private static final String NAME_WITH_BLANK = "night desk";
     private static final String PLAIN_NAME = "night-desk";
     private static final String KEPT_KEY = "key-1";
@@ -73,7 +76,7 @@
         try (Record record = new Record(Path.of(args[0]))) {
             OddTenant run = new OddTenant(record, Path.of(args[1]));
             try {
-                status = run.play(trouble ? NAME_WITH_BLANK : PLAIN_NAME) ? 0 : 1;
+                status = run.play(trouble ? NAME_WITH_BLANK : PLAIN_NAME) ? 0 : BROKEN;
             } catch (IOException e) {
                 record.line("could not run: " + e);
             } finally {
